Lay out the build, the wire contract and the seams between parts

Seven Maven modules with ktlint (spotless) and detekt bound to the build, the protocol between the system's own processes with its committed generated code, the words of the domain, and the interfaces at which the parts meet.

--- /dev/null
+++ b/core/src/main/kotlin/toucanrelay/core/identity/Identifiers.kt
@@ -0,0 +1,75 @@
+package toucanrelay.core.identity
+
+/** Names an organisation of the bundle. */
+@JvmInline
+public value class OrganisationId(
+    public val value: String,
+) : Comparable<OrganisationId> {
+    override fun compareTo(other: OrganisationId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Names a target: one model engine or one instance of a plain service. */
+@JvmInline
+public value class TargetId(
+    public val value: String,
+) : Comparable<TargetId> {
+    override fun compareTo(other: TargetId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Names an instance on which one process of the system runs. */
+@JvmInline
+public value class InstanceId(
+    public val value: String,
+) : Comparable<InstanceId> {
+    override fun compareTo(other: InstanceId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Names a failure domain: instances that may fail or be taken out together. */
+@JvmInline
+public value class FailureDomainId(
+    public val value: String,
+) : Comparable<FailureDomainId> {
+    override fun compareTo(other: FailureDomainId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Names a region: failure domains joined by fast links; traffic between regions is paid by volume. */
+@JvmInline
+public value class RegionId(
+    public val value: String,
+) : Comparable<RegionId> {
+    override fun compareTo(other: RegionId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Names a caller's request, uniquely over the fleet. */
+@JvmInline
+public value class RequestId(
+    public val value: String,
+) {
+    override fun toString(): String = value
+}
+
+/** Orders the runs of one process: a later run has a higher number. */
+@JvmInline
+public value class Incarnation(
+    public val value: Long,
+) : Comparable<Incarnation> {
+    override fun compareTo(other: Incarnation): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+}
+
+/** One run of the process on one instance. */
+public data class ProcessRun(
+    public val instance: InstanceId,
+    public val incarnation: Incarnation,
+)
--- /dev/null
+++ b/core/src/test/kotlin/toucanrelay/core/time/ManualClockTest.kt
@@ -0,0 +1,22 @@
+package toucanrelay.core.time
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+class ManualClockTest :
+    DescribeSpec({
+        describe("a manual clock") {
+            it("moves by what it is told") {
+                val clock = ManualClock(startMilliseconds = 5)
+
+                clock.advance(7)
+
+                clock.nowMilliseconds() shouldBe 12
+            }
+
+            it("does not go backwards") {
+                shouldThrow<IllegalArgumentException> { ManualClock().advance(-1) }
+            }
+        }
+    })
