Add the stand-ins: model engine, plain service, platform and cuttable link

Cause: the other parts need something to route to, to store in and to break before they can be tested.

Change: module standins with ModelEngine, PlainService, PlatformStandIn and CuttableLink, each a class that tests embed and, but for the link, a program on args4j.

--- /dev/null
+++ b/standins/src/main/kotlin/toucanrelay/standins/PlatformMain.kt
@@ -0,0 +1,27 @@
+@file:JvmName("PlatformMain")
+
+package toucanrelay.standins
+
+import org.kohsuke.args4j.Option
+
+internal class PlatformOptions : StandInOptions() {
+    @Option(name = "--weight-reads-per-second", metaVar = "N", usage = "reads of the weight store in a second")
+    var weightReadsPerSecond: Double = PlatformSettings().weightReadsPerSecond
+
+    @Option(name = "--table-writes-per-second", metaVar = "N", usage = "writes to tables in a second; 0 for no limit")
+    var tableWritesPerSecond: Double = 0.0
+}
+
+/** Runs a [PlatformStandIn] as a program. */
+public fun main(arguments: Array<String>) {
+    val options = parseOptions("platform", PlatformOptions(), arguments)
+    val settings =
+        PlatformSettings(
+            host = options.host,
+            port = options.port,
+            weightReadsPerSecond = options.weightReadsPerSecond,
+            tableWritesPerSecond = options.tableWritesPerSecond,
+        )
+    val platform = PlatformStandIn(settings)
+    runStandIn("platform", options.host, platform::start, platform::stop)
+}
