Claim non-idempotent orders by conditional writes

Cause: a caller may repeat an order at any entry, while entries crash and the table service loses answers after a write took effect. Conclusion: two writes an order; safety rests on the conditional write alone, the wall clock only tells running from unknown.

--- a/core/src/main/kotlin/toucanrelay/core/time/Clock.kt
+++ b/core/src/main/kotlin/toucanrelay/core/time/Clock.kt
@@ -16,3 +16,12 @@
 
     override fun nowMilliseconds(): Long = System.nanoTime() / NANOSECONDS_IN_A_MILLISECOND
 }
+
+/**
+ * Reads the wall clock, in milliseconds since 1970-01-01T00:00Z.
+ *
+ * It may step; only decisions that stay safe under any reading may use it.
+ */
+public object EpochClock : Clock {
+    override fun nowMilliseconds(): Long = System.currentTimeMillis()
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/order/OrderTable.kt
@@ -0,0 +1,52 @@
+package toucanrelay.daemon.order
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import toucanrelay.core.order.OrderRecord
+import toucanrelay.platform.PlatformError
+import toucanrelay.platform.table.RowKey
+import toucanrelay.platform.table.RowVersion
+import toucanrelay.platform.table.TableService
+import toucanrelay.platform.table.WriteCondition
+import java.security.MessageDigest
+
+/**
+ * An order's record as it was read.
+ *
+ * @property record null when the row is not an order's.
+ */
+internal data class VersionedOrder(
+    val version: RowVersion,
+    val record: OrderRecord?,
+)
+
+/** The rows of orders in the platform's table service. */
+internal class OrderTable(
+    private val tables: TableService,
+) {
+    /** Names the row of [key]; a digest, so that callers' keys of any length and content fit. */
+    fun rowOf(key: OrderKey): RowKey {
+        val digest = MessageDigest.getInstance("SHA-256")
+        listOf(key.organisation.value, key.service, key.idempotencyKey).forEach { part ->
+            val bytes = part.encodeToByteArray()
+            digest.update("${bytes.size}:".encodeToByteArray())
+            digest.update(bytes)
+        }
+        return RowKey(TABLE, digest.digest().joinToString("") { "%02x".format(it) })
+    }
+
+    suspend fun read(row: RowKey): Result<VersionedOrder?, PlatformError> =
+        tables.read(row).map { found -> found?.let { VersionedOrder(it.version, OrderRow.decode(it.value)) } }
+
+    suspend fun create(row: RowKey, record: OrderRecord): Result<RowVersion, PlatformError> =
+        tables.write(row, OrderRow.encode(record), WriteCondition.Absent)
+
+    suspend fun replace(row: RowKey, version: RowVersion, record: OrderRecord): Result<RowVersion, PlatformError> =
+        tables.write(row, OrderRow.encode(record), WriteCondition.Unchanged(version))
+
+    suspend fun remove(row: RowKey, version: RowVersion): Result<Unit, PlatformError> = tables.delete(row, version)
+
+    private companion object {
+        const val TABLE = "orders"
+    }
+}
