--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetPlanBuilder.kt
@@ -0,0 +1,88 @@
+package toucanrelay.measure.fleet
+
+/** Marks the builders of a [FleetPlan]. */
+@DslMarker
+public annotation class FleetDsl
+
+/** Builds a [FleetPlan]; what it lays out is spread over the failure domains in turn. */
+public fun fleetPlan(build: FleetPlanBuilder.() -> Unit): FleetPlan = FleetPlanBuilder().apply(build).toPlan()
+
+/** Collects the parts of a [FleetPlan]; regions come first. */
+@FleetDsl
+public class FleetPlanBuilder {
+    private val failureDomains = mutableListOf<FailureDomainPlan>()
+    private val organisations = mutableListOf<OrganisationPlan>()
+    private val entries = mutableListOf<EntryPlan>()
+    private val models = mutableListOf<ModelTargetPlan>()
+    private val services = mutableListOf<ServiceTargetPlan>()
+
+    /** Adds a region with its failure domains. */
+    public fun region(name: String, vararg failureDomainNames: String) {
+        failureDomains += failureDomainNames.map { FailureDomainPlan(it, name) }
+    }
+
+    /** Adds an organisation. */
+    public fun organisation(name: String, share: Double = 1.0, waitingRequests: Int = 1_000) {
+        organisations += OrganisationPlan(name, share, waitingRequests = waitingRequests)
+    }
+
+    /** Adds [count] entries. */
+    public fun entries(count: Int) {
+        entries += List(count) { EntryPlan("entry-${entries.size + it + 1}", failureDomainAt(it)) }
+    }
+
+    /** Adds [count] engines that serve [model]. */
+    public fun engines(model: String, count: Int, build: EngineBuilder.() -> Unit = {}) {
+        val engine = EngineBuilder().apply(build)
+        models +=
+            List(count) {
+                ModelTargetPlan(
+                    name = "$model-${it + 1}",
+                    failureDomain = failureDomainAt(it),
+                    model = model,
+                    slots = engine.slots,
+                    coldSlots = engine.coldSlots,
+                    startsCold = engine.startsCold,
+                    stepMilliseconds = engine.stepMilliseconds,
+                )
+            }
+    }
+
+    /** Adds [count] instances of the plain service [name]. */
+    public fun service(name: String, count: Int, slots: Int = 16) {
+        services += List(count) { ServiceTargetPlan("$name-${it + 1}", failureDomainAt(it), name, slots) }
+    }
+
+    internal fun toPlan(): FleetPlan {
+        require(entries.isNotEmpty()) { "a fleet needs an entry" }
+        require(organisations.isNotEmpty()) { "a fleet needs an organisation" }
+        return FleetPlan(
+            failureDomains.toList(),
+            organisations.toList(),
+            entries.toList(),
+            models.toList(),
+            services.toList(),
+        )
+    }
+
+    private fun failureDomainAt(index: Int): FailureDomainPlan {
+        require(failureDomains.isNotEmpty()) { "name a region first" }
+        return failureDomains[index % failureDomains.size]
+    }
+}
+
+/** How the engines of one model behave. */
+@FleetDsl
+public class EngineBuilder {
+    /** Requests that an engine bears at once. */
+    public var slots: Int = 8
+
+    /** Requests that it bears when freshly started. */
+    public var coldSlots: Int = 2
+
+    /** Whether it is freshly started. */
+    public var startsCold: Boolean = false
+
+    /** Time of one step of an almost empty batch. */
+    public var stepMilliseconds: Double = 5.0
+}
