Serve requests at the agent: admission, grants and relaying, thin

Cause: the whole path needs the agent's end of AgentLink. Conclusion: a first form to build the whole path on.

--- a/core/src/test/kotlin/toucanrelay/core/liveness/HeartbeatDetectorTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/liveness/HeartbeatDetectorTest.kt
@@ -1,5 +1,6 @@
 package toucanrelay.core.liveness
 
+import io.kotest.common.ExperimentalKotest
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.property.Arb
@@ -9,6 +10,7 @@
 import io.kotest.property.checkAll
 import toucanrelay.core.time.ManualClock
 
+@OptIn(ExperimentalKotest::class)
 class HeartbeatDetectorTest :
     DescribeSpec({
         val terms = HeartbeatTerms(intervalMilliseconds = 1_000, silenceMilliseconds = 3_000)
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/AgentMeters.kt
@@ -0,0 +1,43 @@
+package toucanrelay.daemon.agent
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
+import toucanrelay.core.refusal.RefusalReason
+
+/** Counters and gauges of the role `agent`. */
+internal class AgentMeters(
+    private val registry: MeterRegistry,
+) {
+    private val grants = registry.counter("toucanrelay.agent.grants")
+    private val grantsExpired = registry.counter("toucanrelay.agent.grants.expired")
+    private val grantsDeclined = registry.counter("toucanrelay.agent.grants.declined")
+    private val limitCuts = registry.counter("toucanrelay.agent.limit.cuts")
+    private val streamsResumed = registry.counter("toucanrelay.agent.streams.resumed")
+    private val answersResumed = registry.counter("toucanrelay.agent.answers.resumed")
+    private val linksSilent = registry.counter("toucanrelay.agent.links.silent")
+
+    /** Counts a request that was refused or failed. */
+    fun refused(reason: RefusalReason) = registry.counter("toucanrelay.refusals", "reason", reason.type).increment()
+
+    fun granted() = grants.increment()
+
+    fun grantsExpired(count: Int) = grantsExpired.increment(count.toDouble())
+
+    fun grantDeclined() = grantsDeclined.increment()
+
+    fun limitCut() = limitCuts.increment()
+
+    fun streamResumed() = streamsResumed.increment()
+
+    fun answerResumed() = answersResumed.increment()
+
+    fun linkSilent() = linksSilent.increment()
+
+    /** Counts a model order by its outcome. */
+    fun modelOrder(outcome: String) = registry.counter("toucanrelay.agent.model.orders", "outcome", outcome).increment()
+
+    /** Shows [value] under [name]. */
+    fun gauge(name: String, value: () -> Number) {
+        Gauge.builder(name) { value() }.strongReference(true).register(registry)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/link/ControlStreams.kt
@@ -0,0 +1,177 @@
+package toucanrelay.daemon.agent.link
+
+import io.grpc.Status
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import org.tinylog.kotlin.Logger
+import toucanrelay.core.grant.GrantId
+import toucanrelay.core.grant.OrganisationDemand
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.identity.Pool
+import toucanrelay.core.liveness.HeartbeatTerms
+import toucanrelay.daemon.agent.AgentMeters
+import toucanrelay.daemon.agent.work.Announcement
+import toucanrelay.daemon.agent.work.WorkDesk
+import toucanrelay.daemon.shell.DaemonContext
+import toucanrelay.wire.AgentHello
+import toucanrelay.wire.AgentMessage
+import toucanrelay.wire.CacheChange
+import toucanrelay.wire.Capacity
+import toucanrelay.wire.Demand
+import toucanrelay.wire.EntryMessage
+import toucanrelay.wire.Heartbeat
+import toucanrelay.wire.ProcessIdentity
+
+/** Serves the control streams of the entries. */
+internal class ControlStreams(
+    private val context: DaemonContext,
+    private val desk: WorkDesk,
+    private val links: EntryLinks,
+    private val meters: AgentMeters,
+    private val cachedPrefixes: () -> CacheChange,
+    private val terms: HeartbeatTerms = HeartbeatTerms(),
+) {
+    /** Serves one control stream until either end closes it or the entry goes silent. */
+    fun serve(requests: Flow<EntryMessage>): Flow<AgentMessage> =
+        channelFlow {
+            val link = EntryLink(links.nextId(), context.clock, terms)
+            links.add(link)
+            try {
+                link.send(AgentMessage.newBuilder().setHello(hello()).build())
+                link.send(AgentMessage.newBuilder().setCacheChange(cachedPrefixes()).build())
+                val sending = launch { for (message in link.outbox) send(message) }
+                val announcing = launch { announce(link) }
+                val beating = launch { beat(link) }
+                requests.collect { receive(link, it) }
+                listOf(announcing, beating, sending).forEach { it.cancel() }
+            } finally {
+                links.remove(link)
+                desk.closed(link.id)
+            }
+        }
+
+    private fun receive(link: EntryLink, message: EntryMessage) {
+        link.heard()
+        when (message.messageCase) {
+            EntryMessage.MessageCase.HEARTBEAT -> {
+                heartbeat(link, message.heartbeat)
+            }
+
+            EntryMessage.MessageCase.DEMAND -> {
+                desk.demand(link.id, message.demand.toDemand())
+            }
+
+            EntryMessage.MessageCase.GRANT_DECLINED -> {
+                desk.declined(link.id, GrantId(message.grantDeclined.grantId))
+            }
+
+            EntryMessage.MessageCase.BUNDLE_WANTED -> {
+                context.bundleExchange.update(message.bundleWanted)?.let {
+                    link.send(AgentMessage.newBuilder().setBundleUpdate(it).build())
+                }
+            }
+
+            EntryMessage.MessageCase.BUNDLE_UPDATE -> {
+                context.bundleExchange.accept(message.bundleUpdate)
+            }
+
+            EntryMessage.MessageCase.HELLO -> {
+                Logger.info("agent: entry {} linked", message.hello.entry.instanceId)
+            }
+
+            else -> {
+                Unit
+            }
+        }
+    }
+
+    private fun heartbeat(link: EntryLink, heartbeat: Heartbeat) {
+        link.heardSequence = heartbeat.sequence
+        context.bundleExchange.wanted(heartbeat)?.let {
+            link.send(AgentMessage.newBuilder().setBundleWanted(it).build())
+        }
+    }
+
+    /** Sends a heartbeat in each interval and whenever one is asked for; fails when the entry is silent. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun beat(link: EntryLink) {
+        while (true) {
+            val heartbeat = context.bundleExchange.heartbeat(link.nextSequence(), link.heardSequence)
+            link.send(AgentMessage.newBuilder().setHeartbeat(heartbeat).build())
+            select {
+                link.heartbeatRequests.onReceive { }
+                onTimeout(terms.intervalMilliseconds) { }
+            }
+            if (link.isSilent()) {
+                meters.linkSilent()
+                Logger.warn("agent: an entry went silent, its link is closed")
+                throw Status.UNAVAILABLE.withDescription("no message for ${terms.silenceMilliseconds} ms").asException()
+            }
+        }
+    }
+
+    /** Sends the capacity when what an entry acts on has changed, and what is in flight at times. */
+    private suspend fun announce(link: EntryLink) {
+        var sent: Announcement? = null
+        for (change in link.capacityChanges) {
+            val announcement = desk.announcement(link.id)
+            if (!announcement.isAlike(sent)) {
+                link.send(AgentMessage.newBuilder().setCapacity(announcement.toWire()).build())
+                sent = announcement
+            }
+            delay(COALESCING_MILLISECONDS)
+        }
+    }
+
+    private fun hello(): AgentHello {
+        val settings = context.settings
+        return AgentHello
+            .newBuilder()
+            .setAgent(
+                ProcessIdentity
+                    .newBuilder()
+                    .setInstanceId(context.run.instance.value)
+                    .setIncarnation(context.run.incarnation.value),
+            ).setTarget(checkNotNull(settings.agent).targetId)
+            .setRegion(settings.region)
+            .setFailureDomain(settings.failureDomain)
+            .build()
+    }
+
+    private companion object {
+        /** Changes within this time go out as one announcement. */
+        const val COALESCING_MILLISECONDS = 20L
+    }
+}
+
+private fun Announcement.toWire(): Capacity =
+    Capacity
+        .newBuilder()
+        .setLimit(limit)
+        .setInFlight(inFlight)
+        .setStaged(staged)
+        .setFree(free)
+        .setCold(isCold)
+        .setDraining(isDraining)
+        .addAllPools(pools)
+        .build()
+
+private fun Demand.toDemand(): List<OrganisationDemand> =
+    poolsList.flatMap { pool ->
+        pool.organisationsList.map {
+            OrganisationDemand(
+                pool = Pool.named(pool.pool),
+                organisation = OrganisationId(it.organisation),
+                waiting = it.waiting,
+                virtualTime = it.virtualTime,
+                headCost = it.headCost,
+                share = it.share,
+                headWaitingMilliseconds = it.headWaitingMilliseconds,
+            )
+        }
+    }
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/link/EntryLinks.kt
@@ -0,0 +1,57 @@
+package toucanrelay.daemon.agent.link
+
+import toucanrelay.core.grant.Grant
+import toucanrelay.core.grant.LinkId
+import toucanrelay.daemon.agent.work.LinkBoard
+import toucanrelay.wire.AgentMessage
+import toucanrelay.wire.CacheChange
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import toucanrelay.wire.Grant as WireGrant
+
+/** The open control streams. */
+internal class EntryLinks : LinkBoard {
+    private val open = ConcurrentHashMap<LinkId, EntryLink>()
+    private val lastId = AtomicLong()
+
+    override val links: List<LinkId>
+        get() = open.keys.sortedBy { it.value }
+
+    fun nextId(): LinkId = LinkId(lastId.incrementAndGet())
+
+    fun add(link: EntryLink) {
+        open[link.id] = link
+        capacityChanged()
+    }
+
+    fun remove(link: EntryLink) {
+        open.remove(link.id)
+        capacityChanged()
+    }
+
+    override fun send(grant: Grant) {
+        val message =
+            WireGrant
+                .newBuilder()
+                .setGrantId(grant.id.value)
+                .setPool(grant.pool.name)
+                .setOrganisation(grant.organisation.value)
+                .setExpiresInMilliseconds(grant.expiresInMilliseconds)
+        open[grant.link]?.send(AgentMessage.newBuilder().setGrant(message).build())
+    }
+
+    override fun capacityChanged() {
+        open.values.forEach { it.capacityChanges.trySend(Unit) }
+    }
+
+    /** Sends a change of the target's prefix cache to all entries. */
+    fun send(change: CacheChange) {
+        val message = AgentMessage.newBuilder().setCacheChange(change).build()
+        open.values.forEach { it.send(message) }
+    }
+
+    /** Lets a heartbeat go to each entry at once. */
+    fun requestHeartbeats() {
+        open.values.forEach { it.heartbeatRequests.trySend(Unit) }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/AgentTables.kt
@@ -0,0 +1,65 @@
+package toucanrelay.daemon.agent.work
+
+import toucanrelay.core.admission.AdmissionLimit
+import toucanrelay.core.admission.AdmissionTerms
+import toucanrelay.core.admission.ForeignLoad
+import toucanrelay.core.admission.Placement
+import toucanrelay.core.admission.RequestMemory
+import toucanrelay.core.admission.SlotTable
+import toucanrelay.core.grant.Grant
+import toucanrelay.core.grant.GrantId
+import toucanrelay.core.grant.GrantScheduler
+import toucanrelay.core.grant.OrderingPolicy
+import toucanrelay.core.grant.StagingDepth
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.identity.Pool
+import toucanrelay.core.identity.RequestId
+import toucanrelay.core.time.Clock
+
+/**
+ * The agent's decisions about its slots, put together; guarded by the lock of [WorkDesk].
+ *
+ * @param clock monotonic clock of this process.
+ * @param policy order in which waiting requests get slots.
+ */
+internal class AgentTables(
+    clock: Clock,
+    policy: OrderingPolicy,
+) {
+    val limit = AdmissionLimit(AdmissionTerms(slots = 1, coldSlots = 1))
+    val foreign = ForeignLoad(clock)
+    val scheduler = GrantScheduler(clock, policy)
+    val staging = StagingDepth(clock)
+    val slots = SlotTable { effectiveLimit }
+    val memory = RequestMemory(clock)
+
+    /** Requests that may run through this agent. */
+    val effectiveLimit: Int
+        get() = (limit.current - foreign.requests).coerceAtLeast(0)
+
+    /** Places a request that came with the grant [grant], or with none. */
+    fun place(
+        request: RequestId,
+        grant: GrantId,
+        pool: Pool,
+        organisation: OrganisationId,
+    ): Placement {
+        val roundTrip = if (grant.value == 0L) null else scheduler.served(grant, pool, organisation)
+        if (roundTrip == null) return slots.place(request, reserved = scheduler.outstanding, stagingDepth = 0)
+        staging.roundTrip(roundTrip)
+        return slots.place(request, reserved = 0, stagingDepth = maxOf(limit.terms.slots, slots.staged + 1))
+    }
+
+    /** Grants that are due now for [pools]. */
+    fun dueGrants(pools: Set<Pool>): List<Grant> {
+        val grants = mutableListOf<Grant>()
+        while (slots.spare - scheduler.outstanding + staging.depth(effectiveLimit) > 0) {
+            grants += scheduler.next(pools, staging.grantLifeMilliseconds) ?: break
+        }
+        return grants
+    }
+
+    /** Slots that entries may fill without a grant: none while requests wait. */
+    fun freeSlots(pools: Set<Pool>): Int =
+        if (scheduler.hasDemand(pools)) 0 else (slots.spare - scheduler.outstanding).coerceAtLeast(0)
+}
