--- /dev/null
+++ b/core/src/main/kotlin/toucanrelay/core/linking/LinkPlan.kt
@@ -0,0 +1,22 @@
+package toucanrelay.core.linking
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+import toucanrelay.core.identity.InstanceId
+
+/**
+ * Which agents each entry links to.
+ *
+ * @property agentsByEntry the agents of each entry.
+ */
+public data class LinkPlan(
+    public val agentsByEntry: PersistentMap<InstanceId, PersistentSet<InstanceId>>,
+) {
+    /** The agents to which [entry] links. */
+    public fun agentsOf(entry: InstanceId): PersistentSet<InstanceId> = agentsByEntry[entry] ?: persistentSetOf()
+
+    /** The number of links of all entries. */
+    public val size: Int
+        get() = agentsByEntry.values.sumOf { it.size }
+}
