--- a/core/src/main/kotlin/toucanrelay/core/distribution/VersionGate.kt
+++ b/core/src/main/kotlin/toucanrelay/core/distribution/VersionGate.kt
@@ -32,6 +32,7 @@
     private var lastSignOfLife = clock.nowMilliseconds()
     private var peersCountFrom = Long.MIN_VALUE
     private var confirmedAt: Long? = null
+    private var awaited: Confirmation? = null
 
     /** The highest version that was taken; null before the first. */
     public var held: BundleVersion? = null
@@ -53,6 +54,7 @@
         val now = clock.nowMilliseconds()
         if (now - lastSignOfLife > terms.pauseLimitMilliseconds) {
             confirmedAt = null
+            awaited = null
             peersCountFrom = now + terms.bufferedMessagesMilliseconds
         }
         lastSignOfLife = now
@@ -65,6 +67,7 @@
         return when {
             standing == null || version > standing -> {
                 held = version
+                awaited?.let { confirm(it) }
                 VersionOutcome.TAKEN
             }
 
@@ -81,21 +84,29 @@
     /** Notes that the table service showed [version] to this process. */
     public fun confirmByTable(version: BundleVersion) {
         noteTime()
-        confirm(version, agoMilliseconds = 0)
+        confirm(Confirmation(version, clock.nowMilliseconds()))
     }
 
     /** Notes that a peer runs [version], which the table service showed [agoMilliseconds] ago; null when unknown. */
     public fun confirmByPeer(version: BundleVersion, agoMilliseconds: Long?) {
         noteTime()
         if (agoMilliseconds == null || clock.nowMilliseconds() < peersCountFrom) return
-        confirm(version, agoMilliseconds)
+        confirm(Confirmation(version, clock.nowMilliseconds() - agoMilliseconds))
     }
 
-    // A confirmation of a lower version says nothing against the one held; that of a higher one calls for its document.
-    private fun confirm(version: BundleVersion, agoMilliseconds: Long) {
-        val standing = held ?: return
-        if (version > standing) return
-        val at = clock.nowMilliseconds() - agoMilliseconds
-        confirmedAt = maxOf(confirmedAt ?: Long.MIN_VALUE, at)
+    // A confirmation of a lower version holds for a higher one too; that of a higher one waits for its document.
+    private fun confirm(confirmation: Confirmation) {
+        val standing = held
+        if (standing == null || confirmation.version > standing) {
+            if (awaited.let { it == null || confirmation.version >= it.version }) awaited = confirmation
+        } else {
+            confirmedAt = maxOf(confirmedAt ?: Long.MIN_VALUE, confirmation.atMilliseconds)
+            awaited = awaited?.takeIf { it.version > standing }
+        }
     }
+
+    private data class Confirmation(
+        val version: BundleVersion,
+        val atMilliseconds: Long,
+    )
 }
