--- /dev/null
+++ b/core/src/main/kotlin/toucanrelay/core/retry/AttemptOutcome.kt
@@ -0,0 +1,42 @@
+package toucanrelay.core.retry
+
+import toucanrelay.core.refusal.Executed
+import toucanrelay.core.refusal.RefusalReason
+
+/** How an attempt at a request ended when it gave no whole answer. */
+public sealed interface AttemptOutcome {
+    /**
+     * The agent proved that the target did not get the request.
+     *
+     * @property reason why the agent refused.
+     */
+    public data class Refused(
+        public val reason: RefusalReason,
+    ) : AttemptOutcome
+
+    /** The link was down, so the request was not sent. */
+    public data object NeverSent : AttemptOutcome
+
+    /** The link broke after the request was sent, and the answer could not be resumed. */
+    public data object Lost : AttemptOutcome
+
+    /**
+     * The agent reported that the target failed.
+     *
+     * @property reason what failed.
+     * @property executed whether the target may have run the request.
+     */
+    public data class Failed(
+        public val reason: RefusalReason,
+        public val executed: Executed,
+    ) : AttemptOutcome
+
+    /** Whether the target may have run the request in this attempt. */
+    public val mayHaveRun: Boolean
+        get() =
+            when (this) {
+                is Refused, NeverSent -> false
+                is Lost -> true
+                is Failed -> executed == Executed.UNKNOWN
+            }
+}
