--- a/core/src/main/kotlin/toucanrelay/core/queue/RequestQueues.kt
+++ b/core/src/main/kotlin/toucanrelay/core/queue/RequestQueues.kt
@@ -53,17 +53,21 @@
     /** Requests of [organisation] that run. */
     public fun inFlightOf(organisation: OrganisationId): Int = inFlight[organisation] ?: 0
 
-    /** Takes in a new request, or refuses it because of the organisation's limits. */
-    public fun enqueue(request: WaitingRequest): Result<Unit, RefusalReason> {
+    /** The limit of its organisation that [request] exceeds; null when it may be taken in. */
+    public fun refusalOf(request: WaitingRequest): RefusalReason? {
         val terms = limits.limitsOf(request.organisation)
         return when {
-            request.bodyBytes > terms.bodyBytes -> Err(RefusalReason.BODY_TOO_LARGE)
-            inFlightOf(request.organisation) >= terms.inFlightRequests -> Err(RefusalReason.TOO_MANY_IN_FLIGHT)
-            waitingOf(request.organisation) >= terms.waitingRequests -> Err(RefusalReason.TOO_MANY_WAITING)
-            else -> Ok(put(request) { it.addLast(request) })
+            request.bodyBytes > terms.bodyBytes -> RefusalReason.BODY_TOO_LARGE
+            inFlightOf(request.organisation) >= terms.inFlightRequests -> RefusalReason.TOO_MANY_IN_FLIGHT
+            waitingOf(request.organisation) >= terms.waitingRequests -> RefusalReason.TOO_MANY_WAITING
+            else -> null
         }
     }
 
+    /** Takes in a new request, or refuses it because of the organisation's limits. */
+    public fun enqueue(request: WaitingRequest): Result<Unit, RefusalReason> =
+        refusalOf(request)?.let { Err(it) } ?: Ok(put(request) { it.addLast(request) })
+
     /** Puts back a request that was in flight, before all that arrived after it; limits do not apply again. */
     public fun requeue(request: WaitingRequest) {
         finish(request.organisation)
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryMeters.kt
@@ -0,0 +1,70 @@
+package toucanrelay.daemon.entry
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.refusal.RefusalReason
+import toucanrelay.core.refusal.RetryReason
+import java.util.concurrent.TimeUnit
+
+/** Counters and timers of an entry. */
+internal class EntryMeters(
+    private val registry: MeterRegistry,
+) {
+    private val refusals =
+        RefusalReason.entries.associateWith { registry.counter("toucanrelay.refusals", "reason", it.type) }
+    private val retries =
+        RetryReason.entries.associateWith { registry.counter("toucanrelay.retries", "reason", it.label) }
+    private val firstByte = registry.timer("toucanrelay.entry.first.byte")
+    private val wait = registry.timer("toucanrelay.entry.wait")
+    private val remoteSent = registry.counter("toucanrelay.entry.remote.bytes", "direction", "sent")
+    private val remoteReceived = registry.counter("toucanrelay.entry.remote.bytes", "direction", "received")
+
+    /** Grants that found no waiting request. */
+    val grantsDeclined: Counter = registry.counter("toucanrelay.entry.grants.declined")
+
+    /** Statements of demand that were sent. */
+    val demandSent: Counter = registry.counter("toucanrelay.entry.demand.sent")
+
+    /** Bytes of the statements of demand that were sent. */
+    val demandBytes: Counter = registry.counter("toucanrelay.entry.demand.bytes")
+
+    /** Links that broke. */
+    val linksBroken: Counter = registry.counter("toucanrelay.entry.links.broken")
+
+    /** Links that were closed because the peer was silent. */
+    val linksSilent: Counter = registry.counter("toucanrelay.entry.links.silent")
+
+    fun refused(reason: RefusalReason) {
+        refusals.getValue(reason).increment()
+    }
+
+    fun retried(reason: RetryReason) {
+        retries.getValue(reason).increment()
+    }
+
+    fun waited(milliseconds: Long) = wait.recordMilliseconds(milliseconds)
+
+    fun firstByteAfter(milliseconds: Long) = firstByte.recordMilliseconds(milliseconds)
+
+    fun remoteBytes(sent: Long, received: Long) {
+        remoteSent.increment(sent.toDouble())
+        remoteReceived.increment(received.toDouble())
+    }
+
+    fun answered(organisation: OrganisationId, generatedTokens: Long) {
+        registry.counter("toucanrelay.entry.answers", "organisation", organisation.value).increment()
+        registry
+            .counter("toucanrelay.entry.generated.tokens", "organisation", organisation.value)
+            .increment(generatedTokens.toDouble())
+    }
+
+    fun gauge(name: String, reading: () -> Number) {
+        io.micrometer.core.instrument.Gauge
+            .builder("toucanrelay.entry.$name", reading)
+            .register(registry)
+    }
+
+    private fun Timer.recordMilliseconds(milliseconds: Long) = record(milliseconds, TimeUnit.MILLISECONDS)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
@@ -0,0 +1,306 @@
+package toucanrelay.daemon.entry.dispatch
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import toucanrelay.core.bundle.OrganisationLimits
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.identity.Pool
+import toucanrelay.core.identity.RequestId
+import toucanrelay.core.queue.DemandStatement
+import toucanrelay.core.queue.OrganisationDemand
+import toucanrelay.core.queue.RequestQueues
+import toucanrelay.core.queue.WaitingRequest
+import toucanrelay.core.refusal.RefusalReason
+import toucanrelay.core.routing.ByteBudget
+import toucanrelay.core.routing.Candidate
+import toucanrelay.core.routing.RoutingPolicy
+import toucanrelay.core.time.Clock
+import toucanrelay.daemon.entry.EntryMeters
+import toucanrelay.daemon.entry.EntryTerms
+import toucanrelay.daemon.entry.ServiceAccount
+import toucanrelay.daemon.entry.link.AgentLink
+import toucanrelay.daemon.entry.link.AgentSession
+import toucanrelay.daemon.entry.link.DemandSource
+import toucanrelay.daemon.entry.link.LinkListener
+import toucanrelay.daemon.entry.link.LinkMembership
+import toucanrelay.daemon.fleet.BundleRegister
+import toucanrelay.wire.CacheChange
+import toucanrelay.wire.Capacity
+import toucanrelay.wire.EntryMessage
+import toucanrelay.wire.Grant
+import toucanrelay.wire.GrantDeclined
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** Binds waiting requests to targets: at once where capacity is announced, else by the agents' grants. */
+internal class Dispatcher(
+    private val clock: Clock,
+    private val bundles: BundleRegister,
+    private val account: ServiceAccount,
+    private val routing: RoutingPolicy,
+    private val budget: ByteBudget,
+    private val terms: EntryTerms,
+    private val meters: EntryMeters,
+) : LinkListener,
+    LinkMembership,
+    DemandSource {
+    private val lock = ReentrantLock()
+    private val queues = RequestQueues { organisation -> limitsOf(bundles, organisation) }
+    private val tickets = HashMap<RequestId, Ticket>()
+    private val views = LinkedHashMap<AgentLink, TargetView>()
+
+    val totalWaiting: Int
+        get() = lock.withLock { queues.totalWaiting }
+
+    val totalInFlight: Int
+        get() = lock.withLock { queues.totalInFlight }
+
+    /** Why [request] would be refused now; null when it would be taken in. */
+    fun check(request: WaitingRequest): RefusalReason? =
+        lock.withLock { if (isHopeless(request.pool)) RefusalReason.NO_TARGET else queues.refusalOf(request) }
+
+    /** Takes in a new request, or refuses it at once. */
+    fun submit(request: WaitingRequest): Result<Ticket, RefusalReason> =
+        lock.withLock {
+            if (isHopeless(request.pool)) return Err(RefusalReason.NO_TARGET)
+            queues.enqueue(request).map { place(request) }
+        }
+
+    /** Puts back a request that was proved not to have run. */
+    fun resubmit(request: WaitingRequest): Ticket =
+        lock.withLock {
+            queues.requeue(request)
+            if (isHopeless(request.pool)) {
+                tickets[request.id] = Ticket(request)
+                tickets.getValue(request.id).also { giveUp(it, RefusalReason.NO_TARGET) }
+            } else {
+                place(request)
+            }
+        }
+
+    /** Takes a request out of the queue; false when it was bound to a target already. */
+    fun withdraw(ticket: Ticket): Boolean =
+        lock.withLock {
+            tickets.remove(ticket.request.id)
+            val wasWaiting = queues.withdraw(ticket.request)
+            if (wasWaiting) noteLeft(ticket.request)
+            wasWaiting
+        }
+
+    /** Ends a request that was bound to a target. */
+    fun finish(organisation: OrganisationId) =
+        lock.withLock {
+            queues.finish(organisation)
+            queues.pools.filter { queues.depth(it, organisation) > 0 }.forEach(::dispatch)
+        }
+
+    /** Notes that the target of [assignment] refused. */
+    fun refused(assignment: Assignment) = lock.withLock { views[assignment.link]?.refused() }
+
+    /** Gives up requests that cannot be served any more, and looks again at those that may now leave the region. */
+    fun sweep() =
+        lock.withLock {
+            queues.pools.forEach { pool ->
+                if (isHopeless(pool)) giveUp(pool) else dispatch(pool)
+            }
+        }
+
+    /** Whether no target can be expected to serve [pool]. */
+    fun isPoolHopeless(pool: Pool): Boolean = lock.withLock { isHopeless(pool) }
+
+    override fun onLinkAdded(link: AgentLink) =
+        lock.withLock {
+            views[link] = TargetView(link, clock.nowMilliseconds())
+        }
+
+    override fun onLinkRemoved(link: AgentLink) =
+        lock.withLock {
+            views.remove(link)
+            Unit
+        }
+
+    override fun onConnected(link: AgentLink, session: AgentSession) =
+        lock.withLock {
+            views[link]?.connected(session)
+            Unit
+        }
+
+    override fun onDisconnected(link: AgentLink) =
+        lock.withLock {
+            views[link]?.disconnected(clock.nowMilliseconds())
+            Unit
+        }
+
+    override fun onCapacity(link: AgentLink, capacity: Capacity) =
+        lock.withLock {
+            val view = views[link] ?: return
+            val poolsBefore = view.pools
+            view.update(capacity)
+            if (view.pools != poolsBefore) link.demandChanged()
+            queues.pools.filter { it in view.pools }.forEach(::dispatch)
+        }
+
+    override fun onGrant(link: AgentLink, grant: Grant) =
+        lock.withLock {
+            link.demandGranted()
+            val view = views[link]
+            val session = view?.session ?: return
+            val request = view.takeIf { it.isUsable }?.let { requestFor(grant, it) }
+            if (request == null) decline(session, grant) else assign(request, view, grant.grantId)
+            Unit
+        }
+
+    override fun onCacheChange(link: AgentLink, change: CacheChange) =
+        lock.withLock {
+            views[link]?.prefixes?.apply(change.addedList, change.removedList, change.reset)
+            Unit
+        }
+
+    override fun demandFor(link: AgentLink): DemandStatement =
+        lock.withLock {
+            val view = views[link]?.takeIf { it.isUsable } ?: return DemandStatement()
+            val pools =
+                queues.pools
+                    .filter { it in view.pools }
+                    .associateWith { pool -> demandFor(pool, view).toPersistentList() }
+                    .filterValues { it.isNotEmpty() }
+            DemandStatement(pools.toPersistentMap())
+        }
+
+    private fun demandFor(pool: Pool, view: TargetView): List<OrganisationDemand> =
+        queues
+            .heads(pool, account.policy)
+            .filter { mayBind(it, view) }
+            .take(terms.demandOrganisations)
+            .map { head ->
+                OrganisationDemand(
+                    organisation = head.organisation,
+                    rank = account.policy.rank(head),
+                    share = account.statedShare(head.organisation),
+                    waiting = queues.depth(pool, head.organisation),
+                    headCost = head.cost,
+                    headArrivedAtMilliseconds = head.arrivedAtMilliseconds,
+                )
+            }
+
+    private fun requestFor(grant: Grant, view: TargetView): WaitingRequest? {
+        val organisation = OrganisationId(grant.organisation)
+        if (!queues.mayStart(organisation)) return null
+        return queues.waitingIn(Pool.named(grant.pool), organisation).firstOrNull { mayBind(it, view) }
+    }
+
+    private fun mayBind(request: WaitingRequest, view: TargetView): Boolean {
+        val candidate = view.candidateFor(request)
+        if (routing.isLocal(candidate) && view.target !in request.refusedBy) return true
+        val candidates = candidatesFor(request)
+        val isTriedLast = view.target in request.refusedBy && candidates.any { it.target !in request.refusedBy }
+        return !isTriedLast && routing.mayBind(request, candidate, candidates, clock.nowMilliseconds())
+    }
+
+    private fun place(request: WaitingRequest): Ticket {
+        val ticket = Ticket(request)
+        tickets[request.id] = ticket
+        if (queues.waitingOf(request.organisation) == 1) account.activate(request.organisation)
+        dispatch(request.pool)
+        return ticket
+    }
+
+    private fun dispatch(pool: Pool) {
+        while (views.values.any { it.isUsable && pool in it.pools && it.hasFree }) {
+            val started = queues.heads(pool, account.policy).any(::push)
+            if (!started) break
+        }
+        demandChanged(pool)
+    }
+
+    private fun push(request: WaitingRequest): Boolean {
+        val chosen = routing.choose(request, candidatesFor(request), clock.nowMilliseconds()) ?: return false
+        val view = views.values.first { it.target == chosen.target && it.isUsable }
+        view.sent()
+        return assign(request, view, grantId = 0)
+    }
+
+    private fun assign(request: WaitingRequest, view: TargetView, grantId: Long): Boolean {
+        val session = checkNotNull(view.session)
+        val isRemote = !routing.isLocal(view.candidateFor(request))
+        if (isRemote) budget.reserve(routing.linkBytes(request))
+        queues.start(request)
+        account.charge(request.organisation, request.cost)
+        noteLeft(request)
+        val ticket = tickets.remove(request.id)
+        meters.waited(clock.nowMilliseconds() - request.arrivedAtMilliseconds)
+        ticket?.decision?.complete(Ok(Assignment(view.link, session, grantId, isRemote)))
+        return true
+    }
+
+    /** Replaces the bytes reserved for [request] by those that went over the link to another region. */
+    fun settleRemote(request: WaitingRequest, usedBytes: Long) =
+        lock.withLock { budget.settle(routing.linkBytes(request), usedBytes) }
+
+    private fun decline(session: AgentSession, grant: Grant) {
+        meters.grantsDeclined.increment()
+        session.send(
+            EntryMessage
+                .newBuilder()
+                .setGrantDeclined(GrantDeclined.newBuilder().setGrantId(grant.grantId))
+                .build(),
+        )
+    }
+
+    private fun giveUp(pool: Pool) =
+        queues.waitingIn(pool).toList().forEach { request ->
+            tickets[request.id]?.let { giveUp(it, RefusalReason.NO_TARGET) }
+        }
+
+    private fun giveUp(ticket: Ticket, reason: RefusalReason) {
+        tickets.remove(ticket.request.id)
+        if (queues.withdraw(ticket.request)) noteLeft(ticket.request)
+        ticket.decision.complete(Err(reason))
+    }
+
+    private fun noteLeft(request: WaitingRequest) {
+        if (queues.waitingOf(request.organisation) == 0) account.deactivate(request.organisation)
+        demandChanged(request.pool)
+    }
+
+    private fun demandChanged(pool: Pool) =
+        views.values.filter { pool in it.pools && it.isUsable }.forEach { it.link.demandChanged() }
+
+    private fun isHopeless(pool: Pool): Boolean = views.values.none { isHopeful(it, pool) }
+
+    private fun isHopeful(view: TargetView, pool: Pool): Boolean {
+        val isAwaited = view.isAwaited(clock.nowMilliseconds(), terms.reconnectGraceMilliseconds)
+        val mayServe =
+            if (isAwaited) {
+                bundledPools(view)?.contains(pool) == true
+            } else {
+                view.isUsable &&
+                    pool in view.pools
+            }
+        return mayServe && isInService(view)
+    }
+
+    private fun candidatesFor(request: WaitingRequest): List<Candidate> =
+        views.values
+            .filter { it.isUsable && request.pool in it.pools && isInService(it) }
+            .map { it.candidateFor(request) }
+
+    private fun isInService(view: TargetView): Boolean = bundles.current.value?.isInService(view.target) == true
+
+    private fun bundledPools(view: TargetView) =
+        bundles.current.value
+            ?.targets
+            ?.get(view.target)
+            ?.pools
+}
+
+/** The limits of an organisation; none at all for one that the bundle no longer names. */
+private fun limitsOf(bundles: BundleRegister, organisation: OrganisationId): OrganisationLimits =
+    bundles.current.value
+        ?.organisations
+        ?.get(organisation)
+        ?.limits ?: OrganisationLimits(waitingRequests = 0, inFlightRequests = 0, bodyBytes = 0)
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/TargetView.kt
@@ -0,0 +1,90 @@
+package toucanrelay.daemon.entry.dispatch
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.toPersistentSet
+import toucanrelay.core.identity.FailureDomainId
+import toucanrelay.core.identity.Pool
+import toucanrelay.core.identity.RegionId
+import toucanrelay.core.identity.TargetId
+import toucanrelay.core.queue.WaitingRequest
+import toucanrelay.core.routing.Candidate
+import toucanrelay.core.routing.Location
+import toucanrelay.core.routing.PrefixIndex
+import toucanrelay.daemon.entry.link.AgentLink
+import toucanrelay.daemon.entry.link.AgentSession
+import toucanrelay.wire.Capacity
+
+/** What an entry knows of the target behind one link; guarded by the dispatcher's lock. */
+internal class TargetView(
+    val link: AgentLink,
+    addedAtMilliseconds: Long,
+) {
+    val prefixes = PrefixIndex()
+    var session: AgentSession? = null
+        private set
+    var pools: PersistentSet<Pool> = persistentSetOf()
+        private set
+    private var limit = 0
+    private var free = 0
+    private var isDraining = false
+    private var isCapacityKnown = false
+    private var unconnectedSinceMilliseconds = addedAtMilliseconds
+
+    val target: TargetId = link.record.target ?: TargetId(link.record.instance.value)
+    val location =
+        Location(RegionId(link.record.region.value), FailureDomainId(link.record.failureDomain.value))
+
+    /** Whether the target takes new work as far as its agent said. */
+    val isUsable: Boolean
+        get() = session != null && !isDraining
+
+    /** Whether a request may be sent without a grant. */
+    val hasFree: Boolean
+        get() = free > 0
+
+    fun connected(newSession: AgentSession) {
+        session = newSession
+        isDraining = false
+        isCapacityKnown = false
+        limit = 0
+        free = 0
+        prefixes.apply(emptyList(), emptyList(), isReset = true)
+    }
+
+    fun disconnected(nowMilliseconds: Long) {
+        session = null
+        limit = 0
+        free = 0
+        unconnectedSinceMilliseconds = nowMilliseconds
+    }
+
+    fun update(capacity: Capacity) {
+        isCapacityKnown = true
+        limit = capacity.limit
+        free = capacity.free
+        isDraining = capacity.draining
+        pools = capacity.poolsList.map { Pool.named(it) }.toPersistentSet()
+    }
+
+    /** Counts a request that was sent without a grant. */
+    fun sent() {
+        free -= 1
+    }
+
+    /** Notes that the target refused, so that nothing more is sent until its agent states new capacity. */
+    fun refused() {
+        free = 0
+    }
+
+    /** Whether the target may be usable in a moment: its link broke or began only just now. */
+    fun isAwaited(nowMilliseconds: Long, graceMilliseconds: Long): Boolean =
+        if (session == null) {
+            nowMilliseconds - unconnectedSinceMilliseconds < graceMilliseconds
+        } else {
+            !isCapacityKnown
+        }
+
+    fun candidateFor(request: WaitingRequest): Candidate =
+        Candidate(target, location, limit, free, request.prefixHash?.let { it in prefixes } == true)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Ticket.kt
@@ -0,0 +1,35 @@
+package toucanrelay.daemon.entry.dispatch
+
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import toucanrelay.core.queue.WaitingRequest
+import toucanrelay.core.refusal.RefusalReason
+import toucanrelay.daemon.entry.link.AgentLink
+import toucanrelay.daemon.entry.link.AgentSession
+
+/**
+ * The target that a request is sent to.
+ *
+ * @property grantId zero when the request is sent without a grant.
+ * @property isRemote whether the target is in another region.
+ */
+internal class Assignment(
+    val link: AgentLink,
+    val session: AgentSession,
+    val grantId: Long,
+    val isRemote: Boolean,
+)
+
+/** A request in the queue and the decision that it waits for. */
+internal class Ticket(
+    val request: WaitingRequest,
+) {
+    /** Completed with a target, or with the reason for which the request is given up. */
+    val decision = CompletableDeferred<Result<Assignment, RefusalReason>>()
+
+    /** Whether the request was bound to a target. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    val isAssigned: Boolean
+        get() = decision.isCompleted && decision.getCompleted().isOk
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/RequestIntake.kt
@@ -0,0 +1,138 @@
+package toucanrelay.daemon.entry.http
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.google.protobuf.UnsafeByteOperations
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServerRequest
+import toucanrelay.core.bundle.Bundle
+import toucanrelay.core.bundle.OrganisationTerms
+import toucanrelay.core.charge.CostEstimates
+import toucanrelay.core.charge.CostHint
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.identity.Pool
+import toucanrelay.core.identity.RequestId
+import toucanrelay.core.queue.WaitingRequest
+import toucanrelay.core.refusal.RefusalReason
+import toucanrelay.core.time.Clock
+import toucanrelay.daemon.entry.dispatch.CallerRequest
+import toucanrelay.wire.ModelCall
+import toucanrelay.wire.ServiceCall
+
+/**
+ * Who calls, under which bundle.
+ *
+ * @property bundle the bundle in force when the request came.
+ * @property organisation the caller's organisation.
+ * @property terms what the organisation may use.
+ */
+internal class Caller(
+    val bundle: Bundle,
+    val organisation: OrganisationId,
+    val terms: OrganisationTerms,
+)
+
+/** Turns calls that passed the checks into requests for the queue. */
+internal class RequestIntake(
+    private val clock: Clock,
+    private val estimates: CostEstimates,
+    private val requestTimeoutMilliseconds: Long,
+) {
+    /** Checks that [caller] may use [pool]. */
+    fun checkPool(caller: Caller, pool: Pool): Result<Unit, Refusal> =
+        when {
+            caller.bundle.targets.values
+                .none { pool in it.pools } -> {
+                Err(Refusal(RefusalReason.UNKNOWN_POOL, "No target serves \"$pool\"."))
+            }
+
+            !caller.terms.mayUse(pool) -> {
+                Err(Refusal(RefusalReason.FORBIDDEN_POOL, "The organisation may not use \"$pool\"."))
+            }
+
+            else -> {
+                Ok(Unit)
+            }
+        }
+
+    fun modelCall(caller: Caller, id: RequestId, body: Buffer): Result<CallerRequest, Refusal> {
+        val bytes = body.bytes
+        val call = ModelCallParser.parse(bytes).getOrElse { return Err(it) }
+        checkPool(caller, call.pool).getOrElse { return Err(it) }
+        val expected = estimates.expectedTokens(caller.organisation, call.pool, call.maximumTokens)
+        val hint = CostHint.ofModelCall(bytes.size.toLong(), expected)
+        return Ok(
+            CallerRequest(
+                waiting =
+                    waiting(caller, id, call.pool, hint, bytes.size).copy(
+                        expectedAnswerBytes = (expected * ANSWER_BYTES_PER_TOKEN).toLong(),
+                        prefixHash = call.prefixHash,
+                    ),
+                isIdempotent = true,
+                deadlineMilliseconds = clock.nowMilliseconds() + requestTimeoutMilliseconds,
+                hint = hint,
+                hintTokens = call.maximumTokens,
+                content = { request -> request.setModel(wireCall(call, bytes)) },
+            ),
+        )
+    }
+
+    fun serviceCall(
+        caller: Caller,
+        id: RequestId,
+        call: ServiceCallDescription,
+        request: HttpServerRequest,
+        body: Buffer,
+    ): CallerRequest {
+        val bytes = body.bytes
+        val wireCall =
+            ServiceCall
+                .newBuilder()
+                .setService(call.service)
+                .setMethod(call.method)
+                .setPath(call.path)
+                .addAllHeaders(request.headers().forwarded())
+                .setBody(UnsafeByteOperations.unsafeWrap(bytes))
+                .build()
+        return CallerRequest(
+            waiting = waiting(caller, id, call.pool, CostHint.ofServiceCall, bytes.size),
+            isIdempotent = call.isIdempotent(caller.bundle),
+            deadlineMilliseconds = clock.nowMilliseconds() + requestTimeoutMilliseconds,
+            hint = CostHint.ofServiceCall,
+            hintTokens = 0,
+            content = { message -> message.setService(wireCall) },
+        )
+    }
+
+    private fun waiting(
+        caller: Caller,
+        id: RequestId,
+        pool: Pool,
+        hint: CostHint,
+        bodyBytes: Int,
+    ) = WaitingRequest(
+        id = id,
+        organisation = caller.organisation,
+        pool = pool,
+        cost = hint.units(caller.bundle.weights),
+        arrivedAtMilliseconds = clock.nowMilliseconds(),
+        bodyBytes = bodyBytes.toLong(),
+    )
+
+    private fun wireCall(call: ModelCallDescription, body: ByteArray): ModelCall =
+        ModelCall
+            .newBuilder()
+            .setModel(call.model)
+            .setAdapter(call.adapter)
+            .setStreamed(call.isStreamed)
+            .setBody(UnsafeByteOperations.unsafeWrap(body))
+            .setPrefixHash(call.prefixHash)
+            .build()
+
+    private companion object {
+        /** Bytes of one server-sent event around one token. */
+        const val ANSWER_BYTES_PER_TOKEN = 200
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLink.kt
@@ -0,0 +1,217 @@
+package toucanrelay.daemon.entry.link
+
+import io.grpc.ManagedChannel
+import io.grpc.StatusException
+import io.grpc.StatusRuntimeException
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.consumeAsFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.tinylog.kotlin.Logger
+import toucanrelay.core.liveness.HeartbeatDetector
+import toucanrelay.core.retry.Backoff
+import toucanrelay.daemon.entry.EntryMeters
+import toucanrelay.daemon.entry.EntryTerms
+import toucanrelay.daemon.shell.DaemonContext
+import toucanrelay.platform.instances.InstanceRecord
+import toucanrelay.wire.AgentLinkGrpcKt.AgentLinkCoroutineStub
+import toucanrelay.wire.AgentMessage
+import toucanrelay.wire.EntryHello
+import toucanrelay.wire.EntryMessage
+import toucanrelay.wire.Heartbeat
+import toucanrelay.wire.ProcessIdentity
+import kotlin.random.Random
+
+/**
+ * The link to one agent: holds a connection, replaces it when it breaks or goes silent, and passes on its messages.
+ *
+ * @property record the agent on the platform's list.
+ */
+internal class AgentLink(
+    val record: InstanceRecord,
+    private val context: DaemonContext,
+    private val terms: EntryTerms,
+    private val meters: EntryMeters,
+    private val channels: ChannelFactory,
+    private val listener: LinkListener,
+) {
+    private val current = MutableStateFlow<AgentSession?>(null)
+    private val demand = DemandSender(terms, context.clock, meters)
+
+    /** The connection in use; null while there is none. */
+    val session: StateFlow<AgentSession?>
+        get() = current
+
+    /** Notes that waiting requests changed, so that demand may have to be stated anew. */
+    fun demandChanged() = demand.changed()
+
+    /** Notes that the agent granted a slot, so that it knows of one waiting request less. */
+    fun demandGranted() = demand.granted()
+
+    /** Waits until the link has another connection than [broken] to the run [agent]; null when there will be none. */
+    suspend fun awaitSession(agent: ProcessIdentity, broken: AgentSession?, limitMilliseconds: Long): AgentSession? {
+        val next =
+            withTimeoutOrNull(limitMilliseconds) { current.first { it != null && it !== broken && !it.isClosed } }
+        return next?.takeIf { it.agent == agent }
+    }
+
+    /** Keeps the link up until cancelled; [demandSource] builds the demand to state. */
+    suspend fun run(demandSource: DemandSource) {
+        var failures = 0
+        while (true) {
+            val wasConnected = connect(demandSource)
+            failures = if (wasConnected) 1 else failures + 1
+            delay(RECONNECT_BACKOFF.delayMilliseconds(failures, Random.Default) + 1)
+        }
+    }
+
+    private suspend fun connect(demandSource: DemandSource): Boolean {
+        val channel = channels.open(record.host, record.port)
+        var wasConnected = false
+        try {
+            Connection(channel, demandSource).collect()
+        } catch (cause: CancellationException) {
+            throw cause
+        } catch (cause: StatusException) {
+            Logger.debug { "entry: link to ${record.instance} broke: ${cause.status.code}" }
+        } catch (cause: StatusRuntimeException) {
+            Logger.debug { "entry: link to ${record.instance} broke: ${cause.status.code}" }
+        } finally {
+            channel.shutdownNow()
+            wasConnected = current.value != null
+            if (wasConnected) disconnected()
+        }
+        return wasConnected
+    }
+
+    private fun disconnected() {
+        current.value = null
+        meters.linksBroken.increment()
+        Logger.info { "entry: link to ${record.instance} ended" }
+        listener.onDisconnected(this)
+    }
+
+    /** One control stream and its state. */
+    private inner class Connection(
+        private val channel: ManagedChannel,
+        private val demandSource: DemandSource,
+    ) {
+        private val stub = AgentLinkCoroutineStub(channel)
+        private val outgoing = Channel<EntryMessage>(OUTGOING_MESSAGES)
+        private val detector = HeartbeatDetector(context.clock, terms.heartbeat)
+        private val established = CompletableDeferred<AgentSession>()
+        private var acknowledged = 0L
+
+        suspend fun collect() =
+            coroutineScope {
+                outgoing.trySend(hello())
+                val beating = launch { beat() }
+                val stating = launch { stateDemand() }
+                try {
+                    stub.control(outgoing.consumeAsFlow()).collect { receive(it) }
+                } finally {
+                    beating.cancel()
+                    stating.cancel()
+                }
+            }
+
+        private suspend fun stateDemand() {
+            val session = established.await()
+            while (true) demand.sendNext(session, demandSource, this@AgentLink)
+        }
+
+        private suspend fun beat() {
+            var sequence = 0L
+            while (true) {
+                sequence += 1
+                send { heartbeat = context.bundleExchange.heartbeat(sequence, acknowledged) }
+                delay(terms.heartbeat.intervalMilliseconds)
+                if (detector.isSilent()) {
+                    meters.linksSilent.increment()
+                    Logger.warn { "entry: link to ${record.instance} is silent, replacing it" }
+                    channel.shutdownNow()
+                }
+            }
+        }
+
+        private suspend fun receive(message: AgentMessage) {
+            detector.heard()
+            when (message.messageCase) {
+                AgentMessage.MessageCase.HELLO -> {
+                    connected(message)
+                }
+
+                AgentMessage.MessageCase.HEARTBEAT -> {
+                    beaten(message.heartbeat)
+                }
+
+                AgentMessage.MessageCase.CAPACITY -> {
+                    listener.onCapacity(this@AgentLink, message.capacity)
+                }
+
+                AgentMessage.MessageCase.GRANT -> {
+                    listener.onGrant(this@AgentLink, message.grant)
+                }
+
+                AgentMessage.MessageCase.CACHE_CHANGE -> {
+                    listener.onCacheChange(this@AgentLink, message.cacheChange)
+                }
+
+                AgentMessage.MessageCase.BUNDLE_WANTED -> {
+                    context.bundleExchange.update(message.bundleWanted)?.let { update ->
+                        send { bundleUpdate = update }
+                    }
+                }
+
+                AgentMessage.MessageCase.BUNDLE_UPDATE -> {
+                    context.bundleExchange.accept(message.bundleUpdate)
+                }
+
+                else -> {
+                    Unit
+                }
+            }
+        }
+
+        private fun connected(message: AgentMessage) {
+            val session = AgentSession(message.hello, channel, stub, outgoing)
+            demand.reset()
+            current.value = session
+            Logger.info { "entry: linked to ${record.instance}" }
+            listener.onConnected(this@AgentLink, session)
+            established.complete(session)
+        }
+
+        private fun beaten(heartbeat: Heartbeat) {
+            acknowledged = heartbeat.sequence
+            context.bundleExchange.wanted(heartbeat)?.let { wanted -> send { bundleWanted = wanted } }
+        }
+
+        private fun hello(): EntryMessage =
+            EntryMessage
+                .newBuilder()
+                .setHello(
+                    EntryHello
+                        .newBuilder()
+                        .setEntry(context.run.toWire())
+                        .setRegion(context.settings.region)
+                        .setFailureDomain(context.settings.failureDomain),
+                ).build()
+
+        private fun send(fill: EntryMessage.Builder.() -> Unit) {
+            outgoing.trySend(EntryMessage.newBuilder().apply(fill).build())
+        }
+    }
+
+    private companion object {
+        const val OUTGOING_MESSAGES = 256
+        val RECONNECT_BACKOFF = Backoff(baseMilliseconds = 50, capMilliseconds = 1_000)
+    }
+}
