--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -0,0 +1,117 @@
+package toucanrelay.daemon.agent.target
+
+import io.vertx.core.Future
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpClientResponse
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ChannelResult
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import toucanrelay.wire.Head
+import toucanrelay.wire.Header
+
+/** What came over a connection next. */
+internal sealed interface Arrival<out T> {
+    /** Something came. */
+    data class Piece<T>(
+        val value: T,
+    ) : Arrival<T>
+
+    /** The response ended as its framing says it must. */
+    data object End : Arrival<Nothing>
+
+    /** Nothing came for the stated time. */
+    data object Silence : Arrival<Nothing>
+
+    /** The connection broke. */
+    data class Broken(
+        val detail: String,
+    ) : Arrival<Nothing>
+}
+
+/** A request whose response has not begun. */
+internal class PendingResponse(
+    private val request: HttpClientRequest,
+    response: Future<HttpClientResponse>,
+) {
+    private val begun = CompletableDeferred<Arrival<ResponseBody>>()
+
+    init {
+        response.map { ResponseBody(request, it) }.onComplete { result ->
+            val body = result.result()
+            begun.complete(if (body == null) Arrival.Broken(result.cause().toString()) else Arrival.Piece(body))
+        }
+    }
+
+    /** Waits for the head of the response. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    suspend fun await(silenceMilliseconds: Long): Arrival<ResponseBody> =
+        select {
+            begun.onAwait { it }
+            onTimeout(silenceMilliseconds) { Arrival.Silence }
+        }
+
+    /** Drops the connection. */
+    fun drop() {
+        request.reset()
+    }
+}
+
+/** Reads a response's body piece by piece, no faster than it is asked for. */
+internal class ResponseBody(
+    private val request: HttpClientRequest,
+    private val response: HttpClientResponse,
+) {
+    private val pieces = Channel<Buffer>(Channel.UNLIMITED)
+
+    init {
+        response.pause()
+        response.handler { pieces.trySend(it) }
+        response.endHandler { pieces.close() }
+        response.exceptionHandler { pieces.close(it) }
+    }
+
+    val status: Int
+        get() = response.statusCode()
+
+    val isEventStream: Boolean
+        get() = response.getHeader("Content-Type").orEmpty().startsWith("text/event-stream")
+
+    /** Status and headers to pass on. */
+    fun head(): Head {
+        val head = Head.newBuilder().setStatus(response.statusCode())
+        response
+            .headers()
+            .filter { isPassedOn(it.key) || it.key.equals("content-length", ignoreCase = true) }
+            .forEach { head.addHeaders(Header.newBuilder().setName(it.key).setValue(it.value)) }
+        return head.build()
+    }
+
+    /** Waits for the next piece. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    suspend fun next(silenceMilliseconds: Long): Arrival<Buffer> {
+        response.fetch(1)
+        return select {
+            pieces.onReceiveCatching { arrivalOf(it) }
+            onTimeout(silenceMilliseconds) { Arrival.Silence }
+        }
+    }
+
+    /** Drops the connection. */
+    fun drop() {
+        request.reset()
+    }
+
+    private fun arrivalOf(result: ChannelResult<Buffer>): Arrival<Buffer> {
+        val piece = result.getOrNull()
+        val cause = result.exceptionOrNull()
+        return when {
+            piece != null -> Arrival.Piece(piece)
+            cause != null -> Arrival.Broken(cause.toString())
+            else -> Arrival.End
+        }
+    }
+}
