Add the daemon's shell and the checked settings

Cause: entry and agent need one process around them: ports, metrics, health, start and graceful stop, and settings that are checked whole.

Change: SettingsLoader reads settings through the checked JSON reader; Daemon builds the parts from a Composition, binds link and operators' port, and stops in order (not ready, notice, drain, close). PUT /bundle at the operators' port takes a signed bundle. StoreFleet reads bundle and list from the platform until the fleet's own exchange replaces it. Additive to the seams: Role.callersPort, EntrySettings.notReadyNoticeMilliseconds.

Conclusion: a role can be run as a daemon once it exists.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/settings/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/settings/DaemonSettings.kt
@@ -63,6 +63,8 @@
  * @property requestTimeoutMilliseconds time after which a request without an answer is given up.
  * @property linksPerPool agents to which the entry keeps links, for each pool.
  * @property linkBudgetBytesPerSecond bytes that the entry may send over links to other regions.
+ * @property notReadyNoticeMilliseconds time between the announcement at `/readyz` that the entry stops and the moment
+ *   at which it takes no new requests.
  */
 @Serializable
 public data class EntrySettings(
@@ -70,6 +72,7 @@
     public val requestTimeoutMilliseconds: Long = 300_000,
     public val linksPerPool: Int = 8,
     public val linkBudgetBytesPerSecond: Long = 250_000,
+    public val notReadyNoticeMilliseconds: Long = 2_000,
 )
 
 /**
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/settings/SettingsLoader.kt
@@ -0,0 +1,50 @@
+package toucanrelay.daemon.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import toucanrelay.platform.json.CheckedObject
+import toucanrelay.platform.json.JsonProblems
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/** Loads settings and checks them whole. */
+public object SettingsLoader {
+    /** Loads the settings in [file]. */
+    public fun load(file: Path): Result<DaemonSettings, SettingsError> = read(file).andThen { parse(it) }
+
+    /** Parses the JSON text of settings. */
+    public fun parse(text: String): Result<DaemonSettings, SettingsError> = parseObject(text).andThen { check(it) }
+
+    private fun read(file: Path): Result<String, SettingsError> =
+        try {
+            Ok(file.readText())
+        } catch (unreadable: IOException) {
+            val cause = unreadable.javaClass.simpleName
+            Err(SettingsError.UnreadableFile("cannot be read ($cause); allowed is a readable file in UTF-8"))
+        }
+
+    private fun parseObject(text: String): Result<JsonObject, SettingsError> =
+        try {
+            val element = Json.parseToJsonElement(text)
+            (element as? JsonObject)?.let { Ok(it) }
+                ?: Err(SettingsError.Malformed("no JSON object; allowed is a JSON object"))
+        } catch (malformed: SerializationException) {
+            Err(SettingsError.Malformed("not JSON: ${malformed.message?.lineSequence()?.first()}"))
+        }
+
+    private fun check(source: JsonObject): Result<DaemonSettings, SettingsError> {
+        val problems = JsonProblems()
+        val root = CheckedObject("", source, problems)
+        val settings = SettingsReader.read(root)
+        root.finish()
+        if (problems.all.isEmpty()) return Ok(settings)
+        return Err(SettingsError.Invalid(problems.all.toPersistentList()))
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/Composition.kt
@@ -0,0 +1,35 @@
+package toucanrelay.daemon.shell
+
+import toucanrelay.daemon.fleet.StoreFleet
+import toucanrelay.daemon.order.OrderDesk
+import toucanrelay.daemon.order.TableOrderDesk
+
+/**
+ * Which implementations a daemon is built from; tests replace single ones.
+ *
+ * @property fleet builds the parts that act together with the other processes.
+ * @property orders builds the claims of non-idempotent orders.
+ * @property role builds the entry or the agent.
+ */
+public class Composition(
+    public val fleet: (DaemonFoundation) -> FleetParts = { StoreFleet(it) },
+    public val orders: (DaemonFoundation) -> OrderDesk = { TableOrderDesk(it.platform, it.scope) },
+    public val role: (DaemonContext) -> Role,
+)
+
+/** Builds the context that the parts of one daemon share. */
+internal fun DaemonFoundation.toContext(fleet: FleetParts, orders: OrderDesk): DaemonContext =
+    DaemonContext(
+        settings = settings,
+        run = run,
+        clock = clock,
+        scope = scope,
+        vertx = vertx,
+        meters = meters,
+        tables = platform,
+        bundles = fleet.bundles,
+        bundleExchange = fleet.bundleExchange,
+        directory = fleet.directory,
+        ledger = fleet.ledger,
+        orders = orders,
+    )
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/Role.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/Role.kt
@@ -8,6 +8,10 @@
     /** Services to offer on the process's link port. */
     public val services: PersistentList<BindableService>
 
+    /** Port that faces callers once the role has started; null when it faces none. */
+    public val callersPort: Int?
+        get() = null
+
     /** Starts serving; the link port is bound after this returns. */
     public suspend fun start()
 
--- /dev/null
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/shell/DaemonTest.kt
@@ -0,0 +1,224 @@
+package toucanrelay.daemon.shell
+
+import io.grpc.BindableService
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import toucanrelay.core.bundle.BundleVersion
+import toucanrelay.daemon.settings.AgentSettings
+import toucanrelay.daemon.settings.DaemonSettings
+import toucanrelay.daemon.settings.ListenAddress
+import toucanrelay.daemon.settings.OperatorKey
+import toucanrelay.platform.bundle.BundleDocument
+import toucanrelay.platform.bundle.BundleSigner
+import toucanrelay.platform.bundle.BundleStore
+import toucanrelay.platform.bundle.OperatorKeyPair
+import toucanrelay.platform.httpPlatform
+import toucanrelay.standins.PlatformFaults
+import toucanrelay.standins.PlatformStandIn
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlin.time.Duration.Companion.seconds
+
+class DaemonTest :
+    DescribeSpec({
+        val vertx = Vertx.vertx()
+        val platform = PlatformStandIn(vertx = vertx)
+        val operator = OperatorKeyPair.generate("operator-1")
+        val signer = BundleSigner(operator.privateKey)
+        val loopback = ListenAddress("127.0.0.1", 0)
+        lateinit var settings: DaemonSettings
+
+        beforeSpec {
+            val port = platform.start()
+            settings =
+                DaemonSettings(
+                    instanceId = "agent-1",
+                    region = "east",
+                    failureDomain = "east-1",
+                    link = loopback,
+                    operators = loopback,
+                    platformUrl = "http://127.0.0.1:$port",
+                    operatorKeys = listOf(OperatorKey("operator-1", operator.publicKey.toBase64())),
+                    shutdownLimitMilliseconds = 1_234,
+                    agent = AgentSettings("model-1", "http://127.0.0.1:1"),
+                )
+        }
+        afterSpec {
+            platform.stop()
+            vertx.close().coAwait()
+        }
+
+        suspend fun <T> running(role: FakeRole = FakeRole(), test: suspend (Daemon, OperatorsClient) -> T): T {
+            val daemon = Daemon(settings, Composition { role })
+            val ports = daemon.start()
+            return try {
+                test(daemon, OperatorsClient(ports.operators))
+            } finally {
+                daemon.stop()
+            }
+        }
+
+        describe("a running daemon") {
+            it("answers health, readiness and metrics") {
+                running { _, client ->
+                    client.get("/healthz").statusCode() shouldBe 200
+                    client.get("/readyz").statusCode() shouldBe 200
+                    client.get("/metrics").body() shouldContain "jvm_memory_used_bytes"
+                }
+            }
+
+            it("is not ready while its role is not") {
+                running(FakeRole(ready = false)) { _, client -> client.get("/readyz").statusCode() shouldBe 503 }
+            }
+
+            it("states role, run and bundle") {
+                running { _, client ->
+                    client.get("/status").body() shouldContain "\"role\":\"agent\""
+                }
+            }
+
+            it("answers 404 with a problem elsewhere") {
+                running { _, client ->
+                    val answer = client.get("/bundles")
+                    answer.statusCode() shouldBe 404
+                    answer.headers().firstValue("Content-Type").get() shouldBe "application/problem+json"
+                }
+            }
+        }
+
+        describe("a bundle at the operators' port") {
+            it("is put in force although the platform is down") {
+                platform.faults = PlatformFaults(down = true)
+                running { _, client ->
+                    client.putBundle(signer.sign(BundleDocument(), BundleVersion(5)).toJson()).statusCode() shouldBe 204
+                    client.get("/status").body() shouldContain "\"bundleVersion\":5"
+                }
+                platform.faults = PlatformFaults()
+            }
+
+            it("is refused when its version is not higher") {
+                running { _, client ->
+                    client.putBundle(signer.sign(BundleDocument(), BundleVersion(5)).toJson())
+
+                    client.putBundle(signer.sign(BundleDocument(), BundleVersion(4)).toJson()).statusCode() shouldBe 409
+                }
+            }
+
+            it("is refused when an unknown operator signed it") {
+                val stranger = BundleSigner(OperatorKeyPair.generate("operator-1").privateKey)
+                running { _, client ->
+                    client.putBundle(stranger.sign(BundleDocument(), BundleVersion(5)).toJson()).statusCode() shouldBe
+                        403
+                }
+            }
+
+            listOf("", "garbage", "[]", "{}", "{\"version\":\"one\"}", "\u0000\uFFFF").forEach { garbage ->
+                it("is refused when it reads \"$garbage\"") {
+                    running { _, client ->
+                        val answer = client.putBundle(garbage)
+                        answer.statusCode() shouldBe 400
+                        answer.body() shouldContain "bundle-invalid"
+                        client.get("/healthz").statusCode() shouldBe 200
+                    }
+                }
+            }
+        }
+
+        describe("a bundle in the table service") {
+            it("is put in force") {
+                val client = httpPlatform(vertx, settings.platformUrl)
+                val first = signer.sign(BundleDocument(), BundleVersion(1))
+                BundleStore(client).rollOut(first, expected = null).isOk shouldBe true
+                running { _, operators ->
+                    eventually(10.seconds) { operators.get("/status").body() shouldContain "\"bundleVersion\":1" }
+                }
+                client.close()
+            }
+        }
+
+        describe("stopping") {
+            it("announces not ready before the work in hand has ended") {
+                val drainEnded = CompletableDeferred<Unit>()
+                val role = FakeRole(drainEnded = drainEnded)
+                val daemon = Daemon(settings, Composition { role })
+                val client = OperatorsClient(daemon.start().operators)
+                coroutineScope {
+                    val stopping = async { daemon.stop() }
+                    role.drainStarted.await() shouldBe 1_234
+                    client.get("/readyz").statusCode() shouldBe 503
+                    client.get("/status").body() shouldContain "\"stopping\":true"
+                    role.isClosed shouldBe false
+                    drainEnded.complete(Unit)
+                    stopping.await()
+                }
+                role.isClosed shouldBe true
+            }
+
+            it("can be followed by another daemon in the same process") {
+                repeat(3) { running { _, client -> client.get("/healthz").statusCode() shouldBe 200 } }
+            }
+        }
+
+        describe("starting on a port that is taken") {
+            it("fails and frees what was started") {
+                running { _, client ->
+                    val role = FakeRole()
+                    val taken = settings.copy(operators = ListenAddress("127.0.0.1", client.port))
+
+                    runCatching { Daemon(taken, Composition { role }).start() }.isFailure shouldBe true
+
+                    role.isClosed shouldBe true
+                }
+            }
+        }
+    })
+
+/** A role that does nothing. */
+private class FakeRole(
+    private val ready: Boolean = true,
+    private val drainEnded: CompletableDeferred<Unit> = CompletableDeferred(Unit),
+) : Role {
+    val drainStarted = CompletableDeferred<Long>()
+    var isClosed = false
+    override val services = persistentListOf<BindableService>()
+
+    override suspend fun start() = Unit
+
+    override fun isReady(): Boolean = ready
+
+    override suspend fun drain(limitMilliseconds: Long): Int {
+        drainStarted.complete(limitMilliseconds)
+        drainEnded.await()
+        return 0
+    }
+
+    override suspend fun close() {
+        isClosed = true
+    }
+}
+
+/** Calls the operators' port. */
+private class OperatorsClient(
+    val port: Int,
+) {
+    private val client = HttpClient.newHttpClient()
+
+    fun get(path: String): HttpResponse<String> = send(request(path).GET().build())
+
+    fun putBundle(text: String): HttpResponse<String> =
+        send(request("/bundle").PUT(HttpRequest.BodyPublishers.ofString(text)).build())
+
+    private fun request(path: String) = HttpRequest.newBuilder(URI("http://127.0.0.1:$port$path"))
+
+    private fun send(request: HttpRequest) = client.send(request, HttpResponse.BodyHandlers.ofString())
+}
