Use HTTP/1.1 in the tests of the operators' port

Cause: the test client's upgrade to HTTP/2 left an error in the log. Change: the client speaks HTTP/1.1. Measured: nothing; log only. Conclusion: fewer lines to explain.

--- a/daemon/src/test/kotlin/toucanrelay/daemon/shell/DaemonTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/shell/DaemonTest.kt
@@ -211,7 +211,7 @@
 private class OperatorsClient(
     val port: Int,
 ) {
-    private val client = HttpClient.newHttpClient()
+    private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
 
     fun get(path: String): HttpResponse<String> = send(request(path).GET().build())
 
