Measure fairness, utilisation, cold starts, moves, roll-outs, leaving, outages and overhead

Cause: the scenarios of bin/measure run on real daemons, which stand now.

Change: bin/measure with nine scenarios on a fleet of daemons and stand-ins in one process. Each daemon's link port is listed behind a forwarder, which counts control bytes. The engine tells when its last request came. The entry's callersPort overrides that of Role, which the merge of both left out.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryRole.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryRole.kt
@@ -59,7 +59,7 @@
     private var isListening = false
 
     /** The port on which callers are served. */
-    public val callersPort: Int
+    override val callersPort: Int
         get() = server.port
 
     override val services: PersistentList<BindableService> = persistentListOf()
--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetBundle.kt
@@ -0,0 +1,48 @@
+package toucanrelay.measure.fleet
+
+import toucanrelay.platform.bundle.BundleDocument
+import toucanrelay.platform.bundle.FailureDomainDocument
+import toucanrelay.platform.bundle.LimitsDocument
+import toucanrelay.platform.bundle.OrganisationDocument
+import toucanrelay.platform.bundle.ServiceDocument
+import toucanrelay.platform.bundle.TargetDocument
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** The bundle document that this plan asks for, with every failure domain in service. */
+internal fun FleetPlan.toBundleDocument(): BundleDocument =
+    BundleDocument(
+        organisations = organisations.associate { it.name to it.toDocument() },
+        targets = models.associate { it.name to it.toDocument() } + services.associate { it.name to it.toDocument() },
+        services = services.associate { it.service to ServiceDocument() },
+        failureDomains = failureDomains.associate { it.name to FailureDomainDocument(it.region) },
+    )
+
+private fun OrganisationPlan.toDocument() =
+    OrganisationDocument(
+        share = share,
+        keyDigests = listOf(digestOf(key)),
+        limits = LimitsDocument(waitingRequests = waitingRequests, inFlightRequests = waitingRequests),
+    )
+
+private fun ModelTargetPlan.toDocument() =
+    TargetDocument(
+        region = failureDomain.region,
+        failureDomain = failureDomain.name,
+        pools = listOf(model),
+        slots = slots,
+        coldSlots = coldSlots,
+        checksFencing = true,
+    )
+
+private fun ServiceTargetPlan.toDocument() =
+    TargetDocument(
+        region = failureDomain.region,
+        failureDomain = failureDomain.name,
+        pools = listOf("service:$service"),
+        slots = slots,
+        coldSlots = slots,
+    )
+
+private fun digestOf(key: String): String =
+    HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()))
--- a/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetPlan.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetPlan.kt
@@ -58,6 +58,7 @@
  * @property coldSlots requests it bears when freshly started.
  * @property startsCold whether it is freshly started.
  * @property stepMilliseconds time of one step of an almost empty batch.
+ * @property stepMillisecondsPerRequest what each request of the batch adds to a step.
  */
 public data class ModelTargetPlan(
     public val name: String,
@@ -67,6 +68,7 @@
     public val coldSlots: Int,
     public val startsCold: Boolean,
     public val stepMilliseconds: Double,
+    public val stepMillisecondsPerRequest: Double,
 )
 
 /**
--- a/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetPlanBuilder.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetPlanBuilder.kt
@@ -44,6 +44,7 @@
                     coldSlots = engine.coldSlots,
                     startsCold = engine.startsCold,
                     stepMilliseconds = engine.stepMilliseconds,
+                    stepMillisecondsPerRequest = engine.stepMillisecondsPerRequest,
                 )
             }
     }
@@ -85,4 +86,7 @@
 
     /** Time of one step of an almost empty batch. */
     public var stepMilliseconds: Double = 5.0
+
+    /** What each request of the batch adds to a step. */
+    public var stepMillisecondsPerRequest: Double = 0.5
 }
--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/MeasuredComposition.kt
@@ -0,0 +1,49 @@
+package toucanrelay.measure.fleet
+
+import toucanrelay.core.grant.FirstComeFirstServed
+import toucanrelay.core.grant.LeastVirtualTime
+import toucanrelay.daemon.agent.AgentRole
+import toucanrelay.daemon.entry.EntryOrdering
+import toucanrelay.daemon.entry.EntryRole
+import toucanrelay.daemon.entry.EntryTerms
+import toucanrelay.daemon.fleet.BundleRegister
+import toucanrelay.daemon.shell.Composition
+import toucanrelay.daemon.shell.DaemonContext
+import toucanrelay.daemon.shell.Role
+
+/**
+ * The product's parts, but for the order in which waiting requests are served.
+ *
+ * @param policy the order.
+ * @param onBuilt is given the daemon's bundle register when the daemon is built.
+ */
+internal fun measuredComposition(policy: FleetPolicy, onBuilt: (BundleRegister) -> Unit): Composition =
+    Composition(
+        role = { context ->
+            onBuilt(context.bundles)
+            roleFor(context, policy)
+        },
+    )
+
+private fun roleFor(context: DaemonContext, policy: FleetPolicy): Role =
+    if (context.settings.entry != null) {
+        EntryRole(context, EntryTerms(ordering = policy.entryOrdering()))
+    } else {
+        AgentRole(
+            context,
+            if (policy ==
+                FleetPolicy.FIRST_COME_FIRST_SERVED
+            ) {
+                FirstComeFirstServed
+            } else {
+                LeastVirtualTime
+            },
+        )
+    }
+
+private fun FleetPolicy.entryOrdering(): EntryOrdering =
+    when (this) {
+        FleetPolicy.LEAST_VIRTUAL_TIME_FLEET -> EntryOrdering.FLEET_VIRTUAL_TIME
+        FleetPolicy.LEAST_VIRTUAL_TIME_ENTRY -> EntryOrdering.OWN_VIRTUAL_TIME
+        FleetPolicy.FIRST_COME_FIRST_SERVED -> EntryOrdering.FIRST_COME_FIRST_SERVED
+    }
--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/RunningFleet.kt
@@ -0,0 +1,161 @@
+package toucanrelay.measure.fleet
+
+import io.vertx.core.VerticleBase
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.core.file.FileSystemOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import toucanrelay.measure.load.Endpoint
+import toucanrelay.platform.Platform
+import toucanrelay.platform.bundle.BundleStore
+import toucanrelay.platform.bundle.OperatorKeyPair
+import toucanrelay.platform.httpPlatform
+import toucanrelay.standins.ListedState
+import toucanrelay.standins.PlatformStandIn
+
+private const val START_LIMIT_MILLISECONDS = 60_000L
+private const val LINK_SETTLING_MILLISECONDS = 500L
+private const val POLL_MILLISECONDS = 20L
+private const val STAND_IN_EVENT_LOOPS = 4
+private const val LOOPBACK = "127.0.0.1"
+
+/**
+ * A fleet of real daemons and stand-ins in this process.
+ *
+ * @property plan what was started.
+ * @property platform the platform's stand-in.
+ * @property operator signs and rolls out bundles.
+ * @property engines the model engines with their agents.
+ * @property services the plain services with their agents.
+ * @property entries the entries.
+ */
+internal class RunningFleet private constructor(
+    val plan: FleetPlan,
+    val platform: PlatformStandIn,
+    val operator: FleetOperator,
+    val loadVertx: Vertx,
+    private val operatorPlatform: Platform,
+    private val starter: NodeStarter,
+) {
+    val engines = mutableListOf<RunningEngine>()
+    val services = mutableListOf<RunningService>()
+    val entries = mutableListOf<RunningNode>()
+
+    /** Where callers send their requests. */
+    val endpoints: List<Endpoint>
+        get() = entries.mapNotNull { entry -> entry.ports.callers?.let { Endpoint(LOOPBACK, it) } }
+
+    /** Every daemon. */
+    val nodes: List<RunningNode>
+        get() = entries + engines.map { it.agent } + services.map { it.agent }
+
+    /** Processor time of all daemons. */
+    lateinit var processor: ProcessorMeter
+        private set
+
+    /** Processor time of the entries' own threads; what they share with the agents is left out. */
+    lateinit var entryProcessor: ProcessorMeter
+        private set
+
+    /** Puts [node] on the platform's list of leaving instances. */
+    fun announceLeaving(node: RunningNode) {
+        platform.putInstance(node.listed.copy(state = ListedState.LEAVING))
+    }
+
+    private suspend fun start() {
+        operator.rollOut()
+        startEventLoops(loadVertx)
+        processor = ProcessorMeter()
+        plan.models.forEach { engines += starter.startEngine(it) }
+        plan.services.forEach { services += starter.startService(it) }
+        entryProcessor = ProcessorMeter()
+        plan.entries.forEach { entries += starter.startEntry(it) }
+        awaitBundle(1)
+        awaitLinks()
+    }
+
+    /** Suspends until every agent has a link and no further links come. */
+    private suspend fun awaitLinks() {
+        val agents = engines.map { it.agent } + services.map { it.agent }
+        var before = -1
+        withTimeout(START_LIMIT_MILLISECONDS) {
+            while (true) {
+                val links = agents.map { it.link.openConnections }
+                if (links.all { it > 0 } && links.sum() == before) break
+                before = links.sum()
+                delay(LINK_SETTLING_MILLISECONDS)
+            }
+        }
+    }
+
+    /** Suspends until every node runs the bundle [version] or a later one. */
+    suspend fun awaitBundle(version: Long) {
+        withTimeout(START_LIMIT_MILLISECONDS) {
+            while (nodes.any {
+                    (
+                        it.bundles.current.value
+                            ?.version
+                            ?.value ?: 0
+                    ) < version
+                }
+            ) {
+                delay(POLL_MILLISECONDS)
+            }
+        }
+    }
+
+    /** Stops every daemon and stand-in; entries first, so that no work is cut. */
+    suspend fun stop() {
+        stopAll(entries)
+        stopAll(engines.map { it.agent } + services.map { it.agent })
+        engines.forEach { it.engine.stop() }
+        services.forEach { it.service.stop() }
+        operatorPlatform.close()
+        platform.stop()
+        loadVertx.close().coAwait()
+    }
+
+    private suspend fun stopAll(nodes: List<RunningNode>) =
+        coroutineScope {
+            nodes.map { async { it.daemon.stop() } }.awaitAll()
+            nodes.forEach { it.link.stop() }
+        }
+
+    companion object {
+        /** Starts the fleet of [plan] and suspends until every node runs the first bundle. */
+        suspend fun start(plan: FleetPlan, policy: FleetPolicy = FleetPolicy.LEAST_VIRTUAL_TIME_FLEET): RunningFleet {
+            val loadVertx = newVertx(STAND_IN_EVENT_LOOPS)
+            val platform = PlatformStandIn(vertx = loadVertx)
+            val platformUrl = "http://$LOOPBACK:${platform.start()}"
+            val operatorPlatform = httpPlatform(loadVertx, platformUrl)
+            val keys = OperatorKeyPair.generate("operators")
+            val operator = FleetOperator(keys, BundleStore(operatorPlatform), plan.toBundleDocument())
+            val starter = NodeStarter(platform, platformUrl, keys.publicKey, policy, loadVertx)
+            val fleet = RunningFleet(plan, platform, operator, loadVertx, operatorPlatform, starter)
+            fleet.start()
+            return fleet
+        }
+
+        /** Starts the threads of all event loops, so that they are not taken for those of daemons. */
+        private suspend fun startEventLoops(vertx: Vertx) {
+            val deployments = List(STAND_IN_EVENT_LOOPS) { vertx.deployVerticle(object : VerticleBase() {}).coAwait() }
+            deployments.forEach { vertx.undeploy(it).coAwait() }
+        }
+
+        private fun newVertx(eventLoops: Int): Vertx {
+            val files = FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)
+            val options =
+                VertxOptions()
+                    .setEventLoopPoolSize(eventLoops)
+                    .setWorkerPoolSize(1)
+                    .setInternalBlockingPoolSize(1)
+                    .setFileSystemOptions(files)
+            return Vertx.vertx(options)
+        }
+    }
+}
--- a/measure/src/main/kotlin/toucanrelay/measure/load/LoadGenerator.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/load/LoadGenerator.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.CopyOnWriteArraySet
 import kotlin.math.ln
 import kotlin.random.Random
 
@@ -46,6 +47,8 @@
     private val job = SupervisorJob()
     private val scope = CoroutineScope(vertx.orCreateContext.dispatcher() + job)
 
+    private val withdrawn = CopyOnWriteArraySet<Endpoint>()
+
     @Volatile
     private var isSending = false
 
@@ -76,6 +79,11 @@
         }
     }
 
+    /** Sends nothing new to [endpoint], as a balancer does when an entry announces that it is not ready. */
+    public fun withdraw(endpoint: Endpoint) {
+        withdrawn += endpoint
+    }
+
     /** Sends nothing new, gives open calls [graceMilliseconds] to end and abandons the others. */
     public suspend fun stop(graceMilliseconds: Long) {
         isSending = false
@@ -119,8 +127,9 @@
     }
 
     private fun endpointFor(load: OrganisationLoad, number: Int): Endpoint {
-        if (load.entries.isEmpty()) return endpoints[number % endpoints.size]
-        return endpoints[load.entries[number % load.entries.size]]
+        val own = if (load.entries.isEmpty()) endpoints else load.entries.map { endpoints[it] }
+        val ready = own.filter { it !in withdrawn }.ifEmpty { own }
+        return ready[number % ready.size]
     }
 
     private fun backoffMilliseconds(outcome: CallOutcome, random: Random): Long {
--- a/measure/src/main/kotlin/toucanrelay/measure/load/OrganisationMeter.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/load/OrganisationMeter.kt
@@ -81,6 +81,12 @@
     /** Time between tokens in microseconds since the last reading. */
     public fun betweenTokensMicroseconds(): Histogram = betweenTokens.intervalHistogram
 
+    /** Forgets the times recorded so far. */
+    public fun resetLatencies() {
+        firstToken.reset()
+        betweenTokens.reset()
+    }
+
     internal fun noteDropped() = droppedCalls.increment()
 
     internal fun noteStart() {
--- a/measure/src/main/kotlin/toucanrelay/measure/load/StreamingCaller.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/load/StreamingCaller.kt
@@ -9,10 +9,6 @@
 import io.vertx.core.parsetools.RecordParser
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.serialization.SerialName
-import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 
 private const val MILLISECONDS_IN_A_SECOND = 1_000L
 private const val STATUS_OK = 200
@@ -28,14 +24,6 @@
     public val port: Int,
 )
 
-/** The members of a problem document that a caller acts on. */
-@Serializable
-internal data class ProblemDocument(
-    @SerialName("type")
-    val type: String = "",
-    val executed: String = "",
-)
-
 /**
  * Sends streamed requests and measures what comes back.
  *
@@ -91,22 +79,11 @@
 
     private fun refusal(response: HttpClientResponse): Future<CallOutcome> =
         response.body().map { body ->
-            val problem = decodeProblem(body.toString())
+            val problem = ProblemDocument.parse(body.toString())
             val retryAfter = response.getHeader("Retry-After")?.toLongOrNull()?.times(MILLISECONDS_IN_A_SECOND)
-            val reason = problem.type.substringAfterLast('/').ifEmpty { response.statusCode().toString() }
+            val reason = problem.reason.ifEmpty { response.statusCode().toString() }
             CallOutcome.Refused(response.statusCode(), reason, problem.executed, retryAfter)
         }
-
-    private fun decodeProblem(body: String): ProblemDocument =
-        try {
-            json.decodeFromString(body)
-        } catch (exception: SerializationException) {
-            ProblemDocument()
-        }
-
-    private companion object {
-        private val json = Json { ignoreUnknownKeys = true }
-    }
 }
 
 /**
@@ -137,7 +114,7 @@
             }
 
             StreamEvent.ERROR -> {
-                problem = CallOutcome.BrokenOff(event.toString().take(DETAIL_CHARACTERS))
+                problem = CallOutcome.BrokenOff(reasonIn(event.toString()))
             }
 
             StreamEvent.OUT_OF_ORDER -> {
@@ -157,6 +134,11 @@
         lastTokenAt = now
     }
 
+    private fun reasonIn(errorEvent: String): String {
+        val data = errorEvent.substringAfter("data: ", "")
+        return ProblemDocument.parse(data).reason.ifEmpty { data.take(DETAIL_CHARACTERS) }
+    }
+
     private fun outcome(): CallOutcome =
         problem ?: if (check.isWhole) CallOutcome.Whole else CallOutcome.Cut("the stream ended without its end mark")
 
--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/ControlTrafficScenario.kt
@@ -0,0 +1,104 @@
+package toucanrelay.measure.scenario
+
+import kotlinx.coroutines.delay
+import toucanrelay.measure.fleet.RunningFleet
+import toucanrelay.measure.result.Figure
+import toucanrelay.measure.result.ScenarioResult
+import toucanrelay.measure.result.ScenarioSettings
+import toucanrelay.measure.result.Slope
+import toucanrelay.measure.result.SlopePoint
+import toucanrelay.measure.result.fitSlope
+
+private const val SETTLING_MILLISECONDS = 5_000L
+private const val BYTES_TARGET = 6_000.0
+private const val PROCESSOR_TARGET_PERCENT = 3.8
+
+/** Measures what an idle fleet spends on control, at three sizes of each kind. */
+internal object ControlTrafficScenario : Scenario {
+    override val name = "control-traffic"
+
+    override val description = "control bytes and processor time of a node, by entries, targets and organisations"
+
+    private class SizeRun(
+        val settings: ScenarioSettings,
+        val entryBytes: Double,
+        val agentBytes: Double,
+        val processorPercent: Double,
+        val tableReads: Double,
+        val listReads: Double,
+    )
+
+    override suspend fun run(settings: ScenarioSettings): ScenarioResult {
+        val base = measure(settings)
+        val byEntries = listOf(base) + listOf(2, 4).map { measure(settings.copy(entries = settings.entries * it)) }
+        val byTargets = listOf(base) + listOf(2, 4).map { measure(settings.copy(targets = settings.targets * it)) }
+        val byOrganisations =
+            listOf(base) + listOf(4, 16).map { measure(settings.copy(organisations = settings.organisations * it)) }
+        val runs = (byEntries + byTargets + byOrganisations).distinct()
+        val mostBytes = runs.maxOf { maxOf(it.entryBytes, it.agentBytes) }
+        val mostProcessor = runs.maxOf { it.processorPercent }
+        return ScenarioResult(
+            scenario = name,
+            settings = settings,
+            figures =
+                listOf(
+                    Figure("bytes of an entry", base.entryBytes, "B/s"),
+                    Figure("bytes of an agent", base.agentBytes, "B/s"),
+                    Figure("processor time of a node, all roles", base.processorPercent, "% of a core"),
+                    Figure("most bytes of a node at any size", mostBytes, "B/s"),
+                    Figure("most processor time of a node at any size", mostProcessor, "% of a core"),
+                ),
+            slopes =
+                slopes("entries", byEntries) { it.entries } +
+                    slopes("targets", byTargets) { it.targets } +
+                    slopes("organisations", byOrganisations) { it.organisations },
+            target = "at most 6 KB/s and 3.8 % of a core for each node, idle",
+            withinTarget = mostBytes <= BYTES_TARGET && mostProcessor <= PROCESSOR_TARGET_PERCENT,
+        )
+    }
+
+    private fun slopes(size: String, runs: List<SizeRun>, sizeOf: (ScenarioSettings) -> Int): List<Slope> {
+        fun slope(figure: String, unit: String, value: (SizeRun) -> Double) =
+            fitSlope(figure, size, unit, runs.map { SlopePoint(sizeOf(it.settings).toDouble(), value(it)) })
+        return listOf(
+            slope("bytes of an entry", "B/s") { it.entryBytes },
+            slope("bytes of an agent", "B/s") { it.agentBytes },
+            slope("processor time of a node", "% of a core") { it.processorPercent },
+            slope("table reads of all", "reads/s") { it.tableReads },
+            slope("list reads of all", "reads/s") { it.listReads },
+        )
+    }
+
+    private suspend fun measure(settings: ScenarioSettings): SizeRun =
+        withFleet(standardFleet(settings)) { fleet ->
+            delay(SETTLING_MILLISECONDS)
+            val before = Reading(fleet)
+            delay(settings.seconds * 1_000L)
+            Reading(fleet).since(before, settings)
+        }
+
+    private class Reading(
+        private val fleet: RunningFleet,
+    ) {
+        private val nanoseconds = System.nanoTime()
+        private val agentBytes = fleet.engines.sumOf { it.agent.linkBytes }
+        private val exchangeBytes = fleet.entries.sumOf { it.linkBytes }
+        private val processor = fleet.processor.milliseconds()
+        private val counts = fleet.platform.counts
+
+        /** An entry has both ends of its links; each byte between two entries counts for both. */
+        fun since(before: Reading, settings: ScenarioSettings): SizeRun {
+            val seconds = (nanoseconds - before.nanoseconds) / 1e9
+            val ofAgents = (agentBytes - before.agentBytes) / seconds
+            val ofExchange = (exchangeBytes - before.exchangeBytes) / seconds
+            return SizeRun(
+                settings = settings,
+                entryBytes = (ofAgents + 2 * ofExchange) / settings.entries,
+                agentBytes = ofAgents / settings.targets,
+                processorPercent = (processor - before.processor) / seconds / 10 / fleet.nodes.size,
+                tableReads = (counts.tableReads - before.counts.tableReads) / seconds,
+                listReads = (counts.listReads - before.counts.listReads) / seconds,
+            )
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/FairnessScenario.kt
@@ -0,0 +1,115 @@
+package toucanrelay.measure.scenario
+
+import toucanrelay.measure.fleet.FleetPlan
+import toucanrelay.measure.fleet.FleetPolicy
+import toucanrelay.measure.load.LoadGenerator
+import toucanrelay.measure.load.OrganisationMeter
+import toucanrelay.measure.result.Figure
+import toucanrelay.measure.result.GapMeter
+import toucanrelay.measure.result.GapTerms
+import toucanrelay.measure.result.ScenarioResult
+import toucanrelay.measure.result.ScenarioSettings
+import toucanrelay.measure.result.widestBound
+import kotlin.math.abs
+
+private const val WARM_UP_MILLISECONDS = 4_000L
+
+/** Rounds of the exchange of service, up and down the tree, and of the statement of demand. */
+private const val EXCHANGE_DELAY_SECONDS = 0.75
+
+/** Measures the widest service gap under least virtual time over the fleet, and under two baselines. */
+internal object FairnessScenario : Scenario {
+    override val name = "fairness"
+
+    override val description = "the widest service gap between backlogged organisations, beside its bound and baselines"
+
+    override suspend fun run(settings: ScenarioSettings): ScenarioResult {
+        val plan = standardFleet(settings)
+        val runs = FleetPolicy.entries.map { runPolicy(plan, it, settings) }
+        val fleet = runs.first()
+        val bound = boundFor(plan, fleet)
+        return ScenarioResult(
+            scenario = name,
+            settings = settings,
+            figures = runs.flatMap { it.figures } + Figure("derived bound", bound, "units per share") + fleet.shares,
+            target = "the widest gap under ${fleet.policy.label} is at most the derived bound",
+            withinTarget = fleet.widestGap <= bound && fleet.unitsPerSecond > 0,
+        )
+    }
+
+    private class PolicyRun(
+        val policy: FleetPolicy,
+        val widestGap: Double,
+        val unitsPerSecond: Double,
+        val firstServiceSeconds: Double,
+        val shares: List<Figure>,
+        val failures: List<Figure>,
+    ) {
+        val figures: List<Figure> =
+            listOf(
+                Figure("${policy.label}: widest gap", widestGap, "units per share"),
+                Figure("${policy.label}: service", unitsPerSecond, "units/s"),
+                Figure("${policy.label}: latest first service", firstServiceSeconds, "s"),
+            ) + failures.map { it.copy(name = "${policy.label}: ${it.name}") }
+    }
+
+    private suspend fun runPolicy(plan: FleetPlan, policy: FleetPolicy, settings: ScenarioSettings): PolicyRun =
+        withFleet(plan, policy) { fleet ->
+            fleet.underLoad(plan.contendingLoads(), settings.seed) { measure(policy, it, settings) }
+        }
+
+    private suspend fun measure(policy: FleetPolicy, generator: LoadGenerator, settings: ScenarioSettings): PolicyRun {
+        val firstService = FirstServiceWatch(generator.meters)
+        sampleFor(WARM_UP_MILLISECONDS / 1_000.0) { firstService.look() }
+        val meters = generator.meters
+        val gaps = GapMeter(meters.map { it.organisation })
+        val before = meters.map { it.serviceUnits }
+        val start = System.nanoTime()
+        sampleFor(settings.seconds.toDouble()) {
+            gaps.sample(meters.map { it.serviceOfShare })
+            firstService.look()
+        }
+        val seconds = (System.nanoTime() - start) / 1e9
+        val gained = meters.zip(before) { meter, units -> meter.serviceUnits - units }
+        return PolicyRun(
+            policy = policy,
+            widestGap = gaps.widest()?.unitsOfShare ?: 0.0,
+            unitsPerSecond = gained.sum() / seconds,
+            firstServiceSeconds = firstService.latestSeconds(),
+            shares = shareFigures(meters, gained),
+            failures = meters.failureFigures(),
+        )
+    }
+
+    private fun boundFor(plan: FleetPlan, run: PolicyRun): Double =
+        GapTerms(plan.modelSlots, LARGEST_COST, run.unitsPerSecond, EXCHANGE_DELAY_SECONDS)
+            .widestBound(plan.organisations.map { it.share })
+
+    /** By how much each organisation's part of the service differs from its part of the shares. */
+    private fun shareFigures(meters: List<OrganisationMeter>, gained: List<Double>): List<Figure> {
+        val shares = meters.sumOf { it.share }
+        val total = gained.sum().coerceAtLeast(1.0)
+        return meters.zip(gained) { meter, units ->
+            val error = abs(units / total - meter.share / shares) * 100
+            Figure("${meter.organisation}: received part differs from deserved by", error, "percentage points")
+        }
+    }
+}
+
+/** Notes when each organisation first got service. */
+private class FirstServiceWatch(
+    private val meters: List<OrganisationMeter>,
+) {
+    private val start = System.nanoTime()
+    private val seconds = HashMap<String, Double>()
+
+    fun look() {
+        meters
+            .filter { it.tokens > 0 && it.organisation !in seconds }
+            .forEach { seconds[it.organisation] = (System.nanoTime() - start) / 1e9 }
+    }
+
+    /** When the last organisation got service; until now when one got none. */
+    fun latestSeconds(): Double =
+        if (seconds.size < meters.size) (System.nanoTime() - start) / 1e9 else seconds.values.max()
+}
--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/LeavingScenario.kt
@@ -0,0 +1,75 @@
+package toucanrelay.measure.scenario
+
+import kotlinx.coroutines.delay
+import toucanrelay.measure.fleet.RunningEngine
+import toucanrelay.measure.fleet.RunningFleet
+import toucanrelay.measure.load.LoadGenerator
+import toucanrelay.measure.result.Figure
+import toucanrelay.measure.result.ScenarioResult
+import toucanrelay.measure.result.ScenarioSettings
+
+private const val WARM_UP_MILLISECONDS = 4_000L
+private const val LAST_WORK_TARGET_SECONDS = 3.0
+
+/** Puts targets on the leaving list, then stops an agent and an entry, all under load. */
+internal object LeavingScenario : Scenario {
+    override val name = "leaving"
+
+    override val description = "time until a leaving target's last new work, and requests cut by shutdown"
+
+    override suspend fun run(settings: ScenarioSettings): ScenarioResult {
+        require(settings.targets >= 3) { "three targets are needed: one leaves, one is stopped, others go on" }
+        require(settings.entries >= 2) { "two entries are needed: one is stopped" }
+        val plan = standardFleet(settings)
+        return withFleet(plan) { fleet ->
+            fleet.underLoad(plan.contendingLoads().map { it.copy(entries = emptyList()) }, settings.seed) { generator ->
+                delay(WARM_UP_MILLISECONDS)
+                measure(fleet, generator, settings)
+            }
+        }
+    }
+
+    private suspend fun measure(
+        fleet: RunningFleet,
+        generator: LoadGenerator,
+        settings: ScenarioSettings,
+    ): ScenarioResult {
+        val phaseSeconds = settings.seconds / 3.0
+        val leaving = lastWorkSeconds(fleet.engines[0], phaseSeconds) { fleet.announceLeaving(fleet.engines[0].agent) }
+        val stopped =
+            lastWorkSeconds(fleet.engines[1], phaseSeconds) {
+                fleet.engines[1]
+                    .agent.daemon
+                    .stop()
+            }
+        val entry = fleet.entries.last()
+        generator.withdraw(fleet.endpoints.last())
+        entry.daemon.stop()
+        sampleFor(phaseSeconds) {}
+        val cut = generator.meters.brokenCalls()
+        return ScenarioResult(
+            scenario = name,
+            settings = settings,
+            figures =
+                listOf(
+                    Figure("last new work after a target was listed as leaving", leaving, "s"),
+                    Figure("last new work after an agent was told to stop", stopped, "s"),
+                    Figure("cut requests", cut.toDouble(), "requests"),
+                    Figure("whole answers", generator.meters.sumOf { it.answers }.toDouble(), "answers"),
+                ) + generator.meters.failureFigures(),
+            target = "no new work 3 s after a target starts leaving, and no request cut by shutdown",
+            withinTarget = maxOf(leaving, stopped) <= LAST_WORK_TARGET_SECONDS && cut == 0L,
+        )
+    }
+
+    private suspend fun lastWorkSeconds(
+        engine: RunningEngine,
+        phaseSeconds: Double,
+        leave: suspend () -> Unit,
+    ): Double {
+        val told = System.nanoTime()
+        leave()
+        sampleFor(phaseSeconds) {}
+        return ((engine.engine.lastRequestAtNanoseconds - told) / 1e9).coerceAtLeast(0.0)
+    }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/StandardFleet.kt
@@ -0,0 +1,65 @@
+package toucanrelay.measure.scenario
+
+import toucanrelay.measure.fleet.EngineBuilder
+import toucanrelay.measure.fleet.FleetPlan
+import toucanrelay.measure.fleet.fleetPlan
+import toucanrelay.measure.load.Arrivals
+import toucanrelay.measure.load.OrganisationLoad
+import toucanrelay.measure.load.RequestKind
+import toucanrelay.measure.load.RequestMix
+import toucanrelay.measure.result.ScenarioSettings
+
+internal const val MODEL = "advice"
+private const val FLOOD_FACTOR = 4
+private const val SPARE_REQUESTS = 8
+
+private val shortAnswers = RequestKind(promptTokens = 20..60, answerTokens = 10..30)
+private val longAnswers = RequestKind(promptTokens = 200..600, answerTokens = 100..200)
+private val anyAnswers = RequestKind(promptTokens = 20..200, answerTokens = 10..100)
+
+/** Service units of the largest request that [contendingLoads] send. */
+internal const val LARGEST_COST = 600 * 0.1 + 200
+
+/** Three failure domains in two regions, as each deployment has today, with the sizes of [settings]. */
+internal fun standardFleet(settings: ScenarioSettings, engines: EngineBuilder.() -> Unit = {}): FleetPlan =
+    fleetPlan {
+        region("uusimaa", "uusimaa-1", "uusimaa-2")
+        region("pohjanmaa", "pohjanmaa-1")
+        repeat(settings.organisations) { organisation("organisation-${it + 1}", shareOf(it), waitingRequests = 10_000) }
+        entries(settings.entries)
+        engines(MODEL, settings.targets, engines)
+    }
+
+/** A few large organisations among smaller ones. */
+private fun shareOf(index: Int): Double =
+    when (index) {
+        0 -> 4.0
+        1 -> 2.0
+        else -> 1.0
+    }
+
+/**
+ * Load under which every organisation stays backlogged, each in another way: the first floods all entries with short
+ * requests, the second sends long ones, the third comes in through one entry with hints ten times too low, and the others
+ * send a mix with hints ten times too high or low.
+ */
+internal fun FleetPlan.contendingLoads(): List<OrganisationLoad> =
+    organisations.mapIndexed { index, organisation ->
+        val backlog = modelSlots + SPARE_REQUESTS
+        OrganisationLoad(
+            organisation = organisation.name,
+            key = organisation.key,
+            share = organisation.share,
+            arrivals = Arrivals.Backlogged(if (index == 0) backlog * FLOOD_FACTOR else backlog),
+            mix = RequestMix(MODEL, listOf(kindFor(index))),
+            entries = if (index == 2) listOf(0) else emptyList(),
+        )
+    }
+
+private fun kindFor(index: Int): RequestKind =
+    when (index) {
+        0 -> shortAnswers
+        1 -> longAnswers
+        2 -> shortAnswers.copy(hintFactors = 0.1..0.1)
+        else -> anyAnswers.copy(hintFactors = 0.1..10.0)
+    }
--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/UtilisationScenario.kt
@@ -0,0 +1,78 @@
+package toucanrelay.measure.scenario
+
+import kotlinx.coroutines.delay
+import toucanrelay.measure.fleet.RunningFleet
+import toucanrelay.measure.load.LoadGenerator
+import toucanrelay.measure.result.Figure
+import toucanrelay.measure.result.ScenarioResult
+import toucanrelay.measure.result.ScenarioSettings
+
+private const val WARM_UP_MILLISECONDS = 4_000L
+private const val TARGET_PERCENT = 97.0
+
+/** Adds up how long slots were in use while work waited. */
+internal class UtilisationMeter(
+    private val fleet: RunningFleet,
+    private val generator: LoadGenerator,
+) {
+    private var lastBusy = fleet.busySlotMilliseconds
+    private var lastNanoseconds = System.nanoTime()
+    private var wasWaiting = false
+    private var busy = 0.0
+    private var available = 0.0
+
+    /** Busy part of the slots while work waited, in percent; 100 when none waited. */
+    val percent: Double
+        get() = if (available == 0.0) 100.0 else busy / available * 100
+
+    /** Time during which work waited. */
+    val waitingSeconds: Double
+        get() = available / fleet.plan.modelSlots / 1_000
+
+    /** Takes a sample; the time since the last one counts when work waited at both. */
+    fun sample() {
+        val now = System.nanoTime()
+        val busyNow = fleet.busySlotMilliseconds
+        val isWaiting = generator.outstanding > fleet.engines.sumOf { it.engine.running }
+        if (isWaiting && wasWaiting) {
+            busy += busyNow - lastBusy
+            available += (now - lastNanoseconds) / 1e6 * fleet.plan.modelSlots
+        }
+        wasWaiting = isWaiting
+        lastBusy = busyNow
+        lastNanoseconds = now
+    }
+}
+
+/** Measures the busy part of the slots while any work waits. */
+internal object UtilisationScenario : Scenario {
+    override val name = "utilisation"
+
+    override val description = "the busy part of the slots while any work waits"
+
+    override suspend fun run(settings: ScenarioSettings): ScenarioResult {
+        val plan = standardFleet(settings)
+        return withFleet(plan) { fleet ->
+            fleet.underLoad(plan.contendingLoads(), settings.seed) { generator ->
+                delay(WARM_UP_MILLISECONDS)
+                val meter = UtilisationMeter(fleet, generator)
+                sampleFor(settings.seconds.toDouble()) { meter.sample() }
+                result(settings, meter, generator)
+            }
+        }
+    }
+
+    private fun result(settings: ScenarioSettings, meter: UtilisationMeter, generator: LoadGenerator) =
+        ScenarioResult(
+            scenario = name,
+            settings = settings,
+            figures =
+                listOf(
+                    Figure("busy part of the slots while work waited", meter.percent, "%"),
+                    Figure("time during which work waited", meter.waitingSeconds, "s"),
+                    Figure("whole answers", generator.meters.sumOf { it.answers }.toDouble(), "answers"),
+                ) + generator.meters.failureFigures(),
+            target = "at least 97 % while any work waits",
+            withinTarget = meter.percent >= TARGET_PERCENT && meter.waitingSeconds > 0,
+        )
+}
--- a/standins/src/main/kotlin/toucanrelay/standins/EngineCore.kt
+++ b/standins/src/main/kotlin/toucanrelay/standins/EngineCore.kt
@@ -39,6 +39,10 @@
     private var reportedAtNanoseconds = 0L
     private var reportedTokens = 0L
 
+    @Volatile
+    var lastRequestAtNanoseconds: Long = 0
+        private set
+
     val life = EngineLife(settings.coldStart)
     val models = ModelShelf(settings.models, settings.checksFencing)
     val orders = CopyOnWriteArrayList<ModelOrder>()
@@ -58,6 +62,7 @@
 
     /** Takes [request], or fails when the engine is cold and holds as much as it bears. */
     fun submit(requestId: String, request: ChatRequest): Submission {
+        lastRequestAtNanoseconds = System.nanoTime()
         runs.merge(requestId, 1, Int::plus)
         taken.incrementAndGet()
         val held = batch.runningRequests + batch.waitingRequests
--- a/standins/src/main/kotlin/toucanrelay/standins/ModelEngine.kt
+++ b/standins/src/main/kotlin/toucanrelay/standins/ModelEngine.kt
@@ -37,6 +37,10 @@
     public val running: Int
         get() = core.batch.runningRequests
 
+    /** Reading of [System.nanoTime] when the last request reached the engine; 0 when none did. */
+    public val lastRequestAtNanoseconds: Long
+        get() = core.lastRequestAtNanoseconds
+
     /** Identity of the engine's present run. */
     public val startIdentity: String
         get() = core.life.startIdentity
