--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryRole.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryRole.kt
@@ -58,8 +58,7 @@
     @Volatile
     private var isListening = false
 
-    /** The port on which callers are served. */
-    public val callersPort: Int
+    override val callersPort: Int
         get() = server.port
 
     override val services: PersistentList<BindableService> = persistentListOf()
@@ -75,7 +74,10 @@
         Logger.info { "entry: serving callers on port ${server.port}" }
     }
 
-    override fun isReady(): Boolean = isListening && !isAnnouncedLeaving && context.bundles.current.value != null
+    override fun isReady(): Boolean =
+        isListening && !isAnnouncedLeaving && context.bundles.current.value != null &&
+            context.directory.linkedAgents.value
+                .isNotEmpty()
 
     override suspend fun drain(limitMilliseconds: Long): Int {
         val endsAt = context.clock.nowMilliseconds() + limitMilliseconds
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/Composition.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/Composition.kt
@@ -1,5 +1,8 @@
 package toucanrelay.daemon.shell
 
+import toucanrelay.daemon.agent.AgentRole
+import toucanrelay.daemon.entry.EntryRole
+import toucanrelay.daemon.entry.EntryTerms
 import toucanrelay.daemon.fleet.StoreFleet
 import toucanrelay.daemon.order.OrderDesk
 import toucanrelay.daemon.order.TableOrderDesk
@@ -14,9 +17,15 @@
 public class Composition(
     public val fleet: (DaemonFoundation) -> FleetParts = { StoreFleet(it) },
     public val orders: (DaemonFoundation) -> OrderDesk = { TableOrderDesk(it.platform, it.scope) },
-    public val role: (DaemonContext) -> Role,
+    public val role: (DaemonContext) -> Role = ::roleOf,
 )
 
+/** Builds the role that the settings name. */
+private fun roleOf(context: DaemonContext): Role {
+    val entry = context.settings.entry ?: return AgentRole(context)
+    return EntryRole(context, EntryTerms(announceMilliseconds = entry.notReadyNoticeMilliseconds))
+}
+
 /** Builds the context that the parts of one daemon share. */
 internal fun DaemonFoundation.toContext(fleet: FleetParts, orders: OrderDesk): DaemonContext =
     DaemonContext(
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/Daemon.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/Daemon.kt
@@ -12,7 +12,6 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.tinylog.kotlin.Logger
@@ -37,7 +36,7 @@
  */
 public class Daemon(
     private val settings: DaemonSettings,
-    private val composition: Composition,
+    private val composition: Composition = Composition(),
     private val clock: Clock = MonotonicClock,
     private val sharedVertx: Vertx? = null,
 ) {
@@ -72,7 +71,6 @@
             if (running == null || state == DaemonState.STOPPED) return
             state = DaemonState.STOPPING
             Logger.info { "daemon: $name is not ready any more and drains" }
-            settings.entry?.let { delay(it.notReadyNoticeMilliseconds) }
             val cut = running.role.drain(settings.shutdownLimitMilliseconds)
             reportDrained(cut)
             state = DaemonState.STOPPED
