Let entries share bundles, instances and service totals

Cause: no node may read the platform for everything, and service must count over the whole fleet. Seam, additive: BundleRegister.inForce() checks at the moment of the call, with a default.

--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BatchCodec.kt
@@ -0,0 +1,82 @@
+package toucanrelay.daemon.fleet
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentSet
+import toucanrelay.core.exchange.AccountEntry
+import toucanrelay.core.exchange.ExchangeBatch
+import toucanrelay.core.fairness.ServiceAccount
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.wire.ServiceBatch
+import toucanrelay.wire.ServiceUpdate
+
+/** Writes batches for one stream; names each organisation once and numbers it afterwards. */
+internal class BatchWriter {
+    private val indexes = HashMap<OrganisationId, Int>()
+
+    /** The message for [batch]. */
+    fun write(batch: ExchangeBatch): ServiceBatch {
+        val mentioned = batch.increments.mapTo(HashSet()) { it.organisation }
+        val marks = (batch.backlogged - mentioned).map { AccountEntry(it, ServiceAccount()) }
+        val message =
+            ServiceBatch
+                .newBuilder()
+                .setSequence(batch.sequence)
+                .setFloor(batch.floor)
+                .setOldestMilliseconds(batch.oldestMilliseconds)
+                .addAllUpdates((batch.increments + marks).map { write(it, batch, isTotal = false) })
+                .addAllUpdates(batch.totals.map { write(it, batch, isTotal = true) })
+        batch.creditFloor?.let { message.setCreditFloor(it) }
+        return message.build()
+    }
+
+    private fun write(entry: AccountEntry, batch: ExchangeBatch, isTotal: Boolean): ServiceUpdate {
+        val known = indexes[entry.organisation]
+        val update =
+            ServiceUpdate
+                .newBuilder()
+                .setIndex(known ?: indexes.size.also { indexes[entry.organisation] = it })
+                .setCharged(entry.account.charged)
+                .setRefunded(entry.account.refunded)
+                .setBacklogged(!isTotal && entry.organisation in batch.backlogged)
+                .setTotal(isTotal)
+        if (known == null) update.setOrganisation(entry.organisation.value)
+        return update.build()
+    }
+}
+
+/** Reads the batches of one stream. */
+internal class BatchReader {
+    private val names = HashMap<Int, OrganisationId>()
+
+    /** The batch that [message] carries. */
+    fun read(message: ServiceBatch): Result<ExchangeBatch, UnknownOrganisationIndex> {
+        message.updatesList.filter { it.organisation.isNotEmpty() }.forEach {
+            names[it.index] =
+                OrganisationId(it.organisation)
+        }
+        message.updatesList.firstOrNull { it.index !in names }?.let { return Err(UnknownOrganisationIndex(it.index)) }
+        val (totals, increments) = message.updatesList.partition { it.total }
+        return Ok(
+            ExchangeBatch(
+                sequence = message.sequence,
+                increments = increments.map { read(it) }.filterNot { it.account.isEmpty }.toPersistentList(),
+                totals = totals.map { read(it) }.toPersistentList(),
+                backlogged = increments.filter { it.backlogged }.map { names.getValue(it.index) }.toPersistentSet(),
+                floor = message.floor,
+                creditFloor = if (message.hasCreditFloor()) message.creditFloor else null,
+                oldestMilliseconds = message.oldestMilliseconds,
+            ),
+        )
+    }
+
+    private fun read(update: ServiceUpdate): AccountEntry =
+        AccountEntry(names.getValue(update.index), ServiceAccount(update.charged, update.refunded))
+}
+
+/** A batch uses a number that its stream never gave to an organisation. */
+internal data class UnknownOrganisationIndex(
+    val index: Int,
+)
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BundleRegister.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BundleRegister.kt
@@ -7,4 +7,11 @@
 public interface BundleRegister {
     /** The bundle in force, or null until one is known to be no older than what the fleet runs. */
     public val current: StateFlow<Bundle?>
+
+    /**
+     * The bundle in force, checked at this moment.
+     *
+     * A process that was paused for long gets null here at once, while [current] may still show the bundle of before.
+     */
+    public fun inForce(): Bundle? = current.value
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/EntryExchangeService.kt
@@ -0,0 +1,103 @@
+package toucanrelay.daemon.fleet
+
+import io.grpc.Status
+import io.grpc.StatusException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.flow.consumeAsFlow
+import kotlinx.coroutines.flow.produceIn
+import kotlinx.coroutines.job
+import org.tinylog.kotlin.Logger
+import toucanrelay.core.exchange.EntryPlace
+import toucanrelay.core.exchange.ExchangeTree
+import toucanrelay.core.identity.FailureDomainId
+import toucanrelay.core.identity.Incarnation
+import toucanrelay.core.identity.InstanceId
+import toucanrelay.core.identity.ProcessRun
+import toucanrelay.core.identity.RegionId
+import toucanrelay.core.membership.IncarnationRegister
+import toucanrelay.core.membership.RunStanding
+import toucanrelay.wire.EntryExchangeGrpcKt
+import toucanrelay.wire.ExchangeHello
+import toucanrelay.wire.ExchangeMessage
+import toucanrelay.wire.ProcessIdentity
+import java.util.concurrent.ConcurrentHashMap
+
+/** The end of exchange streams at which children connect. */
+internal class EntryExchangeService(
+    private val parts: ExchangeParts,
+    private val own: EntryPlace,
+    private val run: ProcessRun,
+) : EntryExchangeGrpcKt.EntryExchangeCoroutineImplBase() {
+    private val incarnations = IncarnationRegister()
+    private val sessions = ConcurrentHashMap<InstanceId, Job>()
+
+    override fun exchange(requests: Flow<ExchangeMessage>): Flow<ExchangeMessage> =
+        channelFlow {
+            val incoming = requests.produceIn(this)
+            val child = incoming.receiveHello()
+            admit(child)
+            channel.send(helloOf(own, run))
+            replaceSession(InstanceId(child.entry.instanceId)) {
+                ExchangeSession(parts, channel).run(this, incoming.consumeAsFlow())
+            }
+            channel.close()
+        }
+
+    private fun admit(child: ExchangeHello) {
+        val standing = synchronized(incarnations) { incarnations.note(child.run()) }
+        if (standing == RunStanding.SUPERSEDED) throw refusal("a later run of ${child.entry.instanceId} is known")
+        // A parent ranks before its children, so that no cycle can form.
+        if (ExchangeTree.ENTRY_RANK.compare(own, child.place()) >= 0) {
+            throw refusal("${own.instance} does not rank before ${child.entry.instanceId}")
+        }
+    }
+
+    // A child that connects anew has given its earlier stream up, though this end may not know yet.
+    private suspend fun replaceSession(child: InstanceId, block: suspend () -> Unit) {
+        coroutineScope {
+            val job = currentCoroutineContext().job
+            sessions.put(child, job)?.cancel()
+            try {
+                block()
+            } catch (broken: ExchangeSessionException) {
+                Logger.info { "fleet: stream of $child ended: ${broken.message}" }
+                throw refusal(broken.message.orEmpty())
+            } finally {
+                sessions.remove(child, job)
+            }
+        }
+    }
+
+    private fun refusal(detail: String) = StatusException(Status.FAILED_PRECONDITION.withDescription(detail))
+}
+
+internal fun helloOf(place: EntryPlace, run: ProcessRun): ExchangeMessage {
+    val identity =
+        ProcessIdentity
+            .newBuilder()
+            .setInstanceId(run.instance.value)
+            .setIncarnation(run.incarnation.value)
+    val hello =
+        ExchangeHello
+            .newBuilder()
+            .setEntry(identity)
+            .setRegion(place.region.value)
+            .setFailureDomain(place.failureDomain.value)
+    return ExchangeMessage.newBuilder().setHello(hello).build()
+}
+
+internal suspend fun ReceiveChannel<ExchangeMessage>.receiveHello(): ExchangeHello {
+    val first = receiveCatching().getOrNull()
+    if (first == null || !first.hasHello()) throw ExchangeSessionException("the stream does not begin with a hello")
+    return first.hello
+}
+
+internal fun ExchangeHello.run(): ProcessRun = ProcessRun(InstanceId(entry.instanceId), Incarnation(entry.incarnation))
+
+private fun ExchangeHello.place(): EntryPlace =
+    EntryPlace(InstanceId(entry.instanceId), RegionId(region), FailureDomainId(failureDomain))
--- /dev/null
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/FleetFixture.kt
@@ -0,0 +1,183 @@
+package toucanrelay.daemon.fleet
+
+import io.grpc.Server
+import io.grpc.netty.NettyServerBuilder
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import toucanrelay.core.bundle.BundleVersion
+import toucanrelay.core.identity.FailureDomainId
+import toucanrelay.core.identity.Incarnation
+import toucanrelay.core.identity.InstanceId
+import toucanrelay.core.identity.ProcessRun
+import toucanrelay.core.identity.RegionId
+import toucanrelay.core.identity.TargetId
+import toucanrelay.core.time.Clock
+import toucanrelay.core.time.MonotonicClock
+import toucanrelay.daemon.settings.DaemonSettings
+import toucanrelay.daemon.settings.EntrySettings
+import toucanrelay.daemon.settings.ListenAddress
+import toucanrelay.platform.bundle.BundleDocument
+import toucanrelay.platform.bundle.BundleSigner
+import toucanrelay.platform.bundle.BundleVerifier
+import toucanrelay.platform.bundle.FailureDomainDocument
+import toucanrelay.platform.bundle.OperatorKeyPair
+import toucanrelay.platform.bundle.OrganisationDocument
+import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.platform.bundle.TargetDocument
+import toucanrelay.platform.instances.InstanceRecord
+import toucanrelay.platform.instances.InstanceRole
+import toucanrelay.platform.instances.InstanceState
+import toucanrelay.platform.table.Row
+import toucanrelay.platform.table.RowKey
+import toucanrelay.platform.table.RowVersion
+import toucanrelay.standins.CuttableLink
+import toucanrelay.standins.LinkSettings
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+/** Entries of one fleet in one process, linked over loopback. */
+class FleetFixture {
+    private val keys = OperatorKeyPair.generate("operator")
+    private val verifier = BundleVerifier(listOf(keys.publicKey))
+    private val incarnations = AtomicLong()
+    private val started = mutableListOf<RunningEntry>()
+    private val links = ConcurrentHashMap<String, CuttableLink>()
+    private val linkPorts = ConcurrentHashMap<String, Int>()
+
+    val content = PlatformContent()
+
+    /** Signs [document] as [version]. */
+    fun sign(version: Long, document: BundleDocument = sampleDocument()): SignedBundle =
+        BundleSigner(keys.privateKey).sign(document, BundleVersion(version))
+
+    /** Puts [document] into the table service as [version]. */
+    fun rollOut(version: Long, document: BundleDocument = sampleDocument()) {
+        val row = Row(RowVersion(version.toString()), sign(version, document).toJson())
+        content.rows[RowKey("bundles", "current")] = row
+    }
+
+    /** Lists an agent that nothing answers for. */
+    fun listAgent(name: String, target: String, state: InstanceState = InstanceState.LIVE) {
+        content.instances[name] =
+            InstanceRecord(
+                instance = InstanceId(name),
+                role = InstanceRole.AGENT,
+                state = state,
+                region = RegionId("east"),
+                failureDomain = FailureDomainId("east-1"),
+                target = TargetId(target),
+                host = "127.0.0.1",
+                port = 1,
+            )
+    }
+
+    /** Starts an entry; [isApart] starts it without the platform's services. */
+    suspend fun startEntry(
+        name: String,
+        region: String = "east",
+        clock: Clock = MonotonicClock,
+        isApart: Boolean = false,
+    ): RunningEntry {
+        val platform = SwitchablePlatform(content) { it.copy(port = linkPorts["$region>${it.region}"] ?: it.port) }
+        platform.isDown = isApart
+        val entry = RunningEntry(name, region, clock, platform, verifier, Incarnation(incarnations.incrementAndGet()))
+        started += entry
+        content.instances[name] = entry.start()
+        return entry
+    }
+
+    /** Puts a cuttable link on the way from entries of region [from] to the one entry of region [to]. */
+    suspend fun linkRegions(from: String, to: RunningEntry): CuttableLink {
+        val link = CuttableLink(LinkSettings(targetPort = to.port))
+        links["$from>${to.region}"] = link
+        linkPorts["$from>${to.region}"] = link.start()
+        return link
+    }
+
+    suspend fun stop() {
+        started.forEach { it.stop() }
+        links.values.forEach { it.stop() }
+    }
+}
+
+/** One entry's part in the fleet with its link port. */
+class RunningEntry(
+    private val name: String,
+    val region: String,
+    clock: Clock,
+    val platform: SwitchablePlatform,
+    verifier: BundleVerifier,
+    incarnation: Incarnation,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val address = ListenAddress("127.0.0.1", 0)
+    private val settings =
+        DaemonSettings(
+            instanceId = name,
+            region = region,
+            failureDomain = "$region-1",
+            link = address,
+            operators = address,
+            platformUrl = "http://127.0.0.1:1",
+            operatorKeys = emptyList(),
+            entry = EntrySettings(callers = address),
+        )
+    val meters = SimpleMeterRegistry()
+    val node =
+        FleetNode(
+            settings,
+            ProcessRun(InstanceId(name), incarnation),
+            clock,
+            scope,
+            meters,
+            platform,
+            platform,
+            verifier,
+        )
+    private var server: Server? = null
+    var port = 0
+        private set
+
+    fun start(): InstanceRecord {
+        val builder = NettyServerBuilder.forPort(0)
+        node.services.forEach { builder.addService(it) }
+        port =
+            builder
+                .build()
+                .start()
+                .also { server = it }
+                .port
+        node.start()
+        return InstanceRecord(
+            instance = InstanceId(name),
+            role = InstanceRole.ENTRY,
+            state = InstanceState.LIVE,
+            region = RegionId(region),
+            failureDomain = FailureDomainId("$region-1"),
+            target = null,
+            host = "127.0.0.1",
+            port = port,
+        )
+    }
+
+    suspend fun stop() {
+        node.close()
+        server?.shutdownNow()?.awaitTermination(10, TimeUnit.SECONDS)
+        scope.cancel()
+    }
+}
+
+fun sampleDocument(depotShare: Double = 4.0): BundleDocument =
+    BundleDocument(
+        organisations =
+            mapOf(
+                "depot" to OrganisationDocument(share = depotShare, keyDigests = listOf("a".repeat(64))),
+                "van" to OrganisationDocument(share = 1.0, keyDigests = listOf("b".repeat(64))),
+            ),
+        targets = mapOf("model-1" to TargetDocument("east", "east-1", listOf("briefing"), 8, 2)),
+        failureDomains = mapOf("east-1" to FailureDomainDocument("east")),
+    )
--- /dev/null
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/SwitchablePlatform.kt
@@ -0,0 +1,53 @@
+package toucanrelay.daemon.fleet
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.toPersistentList
+import toucanrelay.platform.PlatformError
+import toucanrelay.platform.instances.InstanceList
+import toucanrelay.platform.instances.InstanceRecord
+import toucanrelay.platform.table.Row
+import toucanrelay.platform.table.RowKey
+import toucanrelay.platform.table.RowVersion
+import toucanrelay.platform.table.TableService
+import toucanrelay.platform.table.WriteCondition
+import java.util.concurrent.ConcurrentHashMap
+
+/** Rows and instances in memory, shared by the processes of a test. */
+class PlatformContent {
+    val rows = ConcurrentHashMap<RowKey, Row>()
+    val instances = ConcurrentHashMap<String, InstanceRecord>()
+}
+
+/** One process's way to the platform, which can be down for it alone. */
+class SwitchablePlatform(
+    private val content: PlatformContent,
+    private val addressOf: (InstanceRecord) -> InstanceRecord = { it },
+) : TableService,
+    InstanceList {
+    @Volatile
+    var isDown = false
+
+    override suspend fun read(key: RowKey): Result<Row?, PlatformError> =
+        if (isDown) Err(PlatformError.NotTaken("down")) else Ok(content.rows[key])
+
+    override suspend fun write(
+        key: RowKey,
+        value: String,
+        condition: WriteCondition,
+    ): Result<RowVersion, PlatformError> = Err(PlatformError.NotTaken("only read here"))
+
+    override suspend fun delete(key: RowKey, version: RowVersion): Result<Unit, PlatformError> =
+        Err(PlatformError.NotTaken("only read here"))
+
+    override suspend fun list(): Result<PersistentList<InstanceRecord>, PlatformError> =
+        if (isDown) Err(PlatformError.NotTaken("down")) else Ok(listed())
+
+    private fun listed(): PersistentList<InstanceRecord> =
+        content.instances.values
+            .sortedBy { it.instance }
+            .map(addressOf)
+            .toPersistentList()
+}
