--- /dev/null
+++ b/core/src/test/kotlin/toucanrelay/core/linking/LinkPlannerTest.kt
@@ -0,0 +1,156 @@
+package toucanrelay.core.linking
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.doubles.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.collections.immutable.persistentSetOf
+import toucanrelay.core.exchange.EntryPlace
+import toucanrelay.core.identity.FailureDomainId
+import toucanrelay.core.identity.InstanceId
+import toucanrelay.core.identity.Pool
+import toucanrelay.core.identity.RegionId
+import kotlin.random.Random
+
+class LinkPlannerTest :
+    DescribeSpec({
+        val terms = LinkTerms()
+        val planner = LinkPlanner(terms)
+
+        fun region(failureDomain: Int) = RegionId("region-${failureDomain / 3}")
+
+        fun entries(count: Int, failureDomains: Int) =
+            List(count) {
+                val domain = it % failureDomains
+                EntryPlace(InstanceId("entry-$it"), region(domain), FailureDomainId("domain-$domain"))
+            }
+
+        fun agents(count: Int, failureDomains: Int, pools: Int) =
+            List(count) {
+                val domain = it % failureDomains
+                val pool = Pool.ofModel("model-${(it / failureDomains) % pools}")
+                LinkableAgent(
+                    InstanceId("agent-$it"),
+                    region(domain),
+                    FailureDomainId("domain-$domain"),
+                    persistentSetOf(pool),
+                )
+            }
+
+        fun entriesByAgent(plan: LinkPlan) =
+            plan.agentsByEntry.values
+                .flatten()
+                .groupingBy { it }
+                .eachCount()
+
+        describe("a link plan") {
+            it("links everything at the sizes of today") {
+                val plan = planner.plan(entries(3, 3), agents(14, 3, 2))
+
+                plan.size shouldBe 3 * 14
+            }
+
+            it("gives each agent enough entries and each entry enough agents of each pool, within the bound") {
+                checkAll(
+                    PropTestConfig(seed = 51, iterations = 40),
+                    Arb.int(1..60),
+                    Arb.int(1..200),
+                    Arb.int(1..5),
+                ) { entryCount, agentCount, poolCount ->
+                    val allEntries = entries(entryCount, 6)
+                    val allAgents = agents(agentCount, 6, poolCount)
+                    val plan = planner.plan(allEntries, allAgents)
+                    val counts = entriesByAgent(plan)
+                    val pools = allAgents.groupBy { it.pools.first() }
+
+                    allAgents.forEach {
+                        counts.getOrDefault(it.instance, 0) shouldBeGreaterThanOrEqual
+                            minOf(terms.leastEntriesPerAgent, entryCount)
+                    }
+                    allEntries.forEach { entry ->
+                        val linked = plan.agentsOf(entry.instance)
+                        pools.values.forEach { members ->
+                            members.count { it.instance in linked } shouldBeGreaterThanOrEqual
+                                minOf(terms.leastLinksPerPool, members.size)
+                        }
+                    }
+                }
+            }
+
+            it("bounds the links of an entry and prefers what is near at the size that the design is for") {
+                val allEntries = entries(170, 23)
+                val allAgents = agents(1_540, 23, 11)
+                val plan = planner.plan(allEntries, allAgents)
+                val bound = planner.drawBound(allEntries.size, allAgents) + 11 * terms.leastLinksPerPool
+                val domains = allAgents.associate { it.instance to it.failureDomain }
+                val links =
+                    allEntries.flatMap { entry ->
+                        plan.agentsOf(entry.instance).map {
+                            entry.failureDomain to
+                                domains[it]
+                        }
+                    }
+
+                allEntries.forEach { entry ->
+                    withClue("${entry.instance}") { plan.agentsOf(entry.instance).size shouldBeLessThanOrEqual bound }
+                }
+                // Links chosen without regard to nearness would stay in the failure domain once in 23.
+                links.count { it.first == it.second }.toDouble() / links.size shouldBeGreaterThan 3.0 / 23
+            }
+
+            it("does not depend on the order of the instances") {
+                val allEntries = entries(20, 6)
+                val allAgents = agents(60, 6, 2)
+
+                planner.plan(allEntries.shuffled(Random(1)), allAgents.shuffled(Random(2))) shouldBe
+                    planner.plan(allEntries, allAgents)
+            }
+
+            it("changes few links when one agent comes or goes") {
+                checkAll(PropTestConfig(seed = 52, iterations = 20), Arb.long()) { seed ->
+                    val random = Random(seed)
+                    val allEntries = entries(60, 6)
+                    val allAgents = agents(240, 6, 3)
+                    val gone = allAgents.random(random)
+                    val before = planner.plan(allEntries, allAgents)
+                    val after = planner.plan(allEntries, allAgents - gone)
+
+                    val changed =
+                        allEntries.sumOf { entry ->
+                            val old = before.agentsOf(entry.instance) - gone.instance
+                            val new = after.agentsOf(entry.instance)
+                            (old - new).size + (new - old).size
+                        }
+                    // A tenth of all links would be a plan made anew; one agent has 1 in 240.
+                    changed shouldBeLessThanOrEqual before.size / 20
+                }
+            }
+
+            it("changes few links when one entry comes or goes") {
+                checkAll(PropTestConfig(seed = 53, iterations = 20), Arb.long()) { seed ->
+                    val random = Random(seed)
+                    val allEntries = entries(60, 6)
+                    val allAgents = agents(240, 6, 3)
+                    val gone = allEntries.random(random)
+                    val before = planner.plan(allEntries, allAgents)
+                    val after = planner.plan(allEntries - gone, allAgents)
+
+                    val changed =
+                        (allEntries - gone).sumOf { entry ->
+                            val old = before.agentsOf(entry.instance)
+                            val new = after.agentsOf(entry.instance)
+                            (old - new).size + (new - old).size
+                        }
+                    // The links of the entry itself move to others; beyond them a twentieth of the rest may.
+                    changed shouldBeLessThanOrEqual before.agentsOf(gone.instance).size + before.size / 20
+                }
+            }
+        }
+    })
