--- /dev/null
+++ b/core/src/test/kotlin/toucanrelay/core/exchange/ExchangeFleet.kt
@@ -0,0 +1,129 @@
+package toucanrelay.core.exchange
+
+import com.github.michaelbull.result.getOrElse
+import toucanrelay.core.fairness.FairnessTerms
+import toucanrelay.core.fairness.FleetLedger
+import toucanrelay.core.identity.FailureDomainId
+import toucanrelay.core.identity.InstanceId
+import toucanrelay.core.identity.RegionId
+import toucanrelay.core.time.ManualClock
+import kotlin.random.Random
+
+/** Entries whose exchanges are driven by hand over streams that delay, and that break when a test says so. */
+class ExchangeFleet(
+    private val random: Random,
+    val places: List<EntryPlace>,
+    private val terms: FairnessTerms = FairnessTerms(),
+    private val longestDelayMilliseconds: Long = 100,
+    private val roundMilliseconds: Long = 250,
+) {
+    private class Stream(
+        val child: Int,
+        val parent: Int,
+        val childEnd: ExchangeLinkId,
+        val parentEnd: ExchangeLinkId,
+    )
+
+    private class Arrival(
+        val stream: Stream,
+        val isToParent: Boolean,
+        val batch: ExchangeBatch,
+        val atMilliseconds: Long,
+    )
+
+    val clock = ManualClock()
+    val exchanges = MutableList(places.size) { ServiceExchange(clock, FleetLedger(clock, terms)) }
+    private val nextRound = LongArray(places.size) { random.nextLong(roundMilliseconds) }
+    private val streams = mutableListOf<Stream>()
+    private val arrivals = ArrayDeque<Arrival>()
+    private var lastLink = 0L
+
+    /** Links all entries that [isReachable] from one another by the tree that they all see. */
+    fun connect(isReachable: (EntryPlace, EntryPlace) -> Boolean = { _, _ -> true }) {
+        places.indices.forEach { child ->
+            val seen = places.filter { isReachable(places[child], it) }
+            val parent = ExchangeTree(seen).parentOf(places[child])
+            val standing = streams.firstOrNull { it.child == child }
+            if (standing != null && (parent == null || places[standing.parent] != parent)) close(standing)
+            if (parent != null && streams.none { it.child == child }) open(child, places.indexOf(parent))
+        }
+    }
+
+    /** Breaks the stream from [child] to its parent, with all that is on the way. */
+    fun breakStream(child: Int) {
+        streams.firstOrNull { it.child == child }?.let { close(it) }
+    }
+
+    /** Replaces the process [entry] by one that holds nothing. */
+    fun restart(entry: Int) {
+        streams.filter { it.child == entry || it.parent == entry }.forEach { close(it) }
+        exchanges[entry] = ServiceExchange(clock, FleetLedger(clock, terms))
+    }
+
+    /** Moves time on and does what is due. */
+    fun advance(milliseconds: Long) {
+        clock.advance(milliseconds)
+        deliver()
+        places.indices.filter { nextRound[it] <= clock.nowMilliseconds() }.forEach { round(it) }
+    }
+
+    /** Lets everything arrive, while nothing new happens. */
+    fun quiesce(rounds: Int = 60) = repeat(rounds) { advance(roundMilliseconds) }
+
+    private fun open(child: Int, parent: Int) {
+        val stream = Stream(child, parent, ExchangeLinkId(++lastLink), ExchangeLinkId(++lastLink))
+        exchanges[child].open(stream.childEnd)
+        exchanges[parent].open(stream.parentEnd)
+        streams += stream
+    }
+
+    private fun close(stream: Stream) {
+        exchanges[stream.child].close(stream.childEnd)
+        exchanges[stream.parent].close(stream.parentEnd)
+        streams -= stream
+        arrivals.removeAll { it.stream == stream }
+    }
+
+    private fun round(entry: Int) {
+        nextRound[entry] = clock.nowMilliseconds() + roundMilliseconds
+        exchanges[entry].advance()
+        streams.filter { it.child == entry }.forEach { send(it, isToParent = true) }
+        streams.filter { it.parent == entry }.forEach { send(it, isToParent = false) }
+    }
+
+    private fun send(stream: Stream, isToParent: Boolean) {
+        val from = if (isToParent) exchanges[stream.child] else exchanges[stream.parent]
+        val batch = from.nextBatch(if (isToParent) stream.childEnd else stream.parentEnd) ?: return
+        val earlier = arrivals.lastOrNull { it.stream == stream && it.isToParent == isToParent }?.atMilliseconds ?: 0
+        val at = clock.nowMilliseconds() + random.nextLong(longestDelayMilliseconds + 1)
+        arrivals += Arrival(stream, isToParent, batch, maxOf(at, earlier))
+    }
+
+    private fun deliver() {
+        val due = arrivals.filter { it.atMilliseconds <= clock.nowMilliseconds() }
+        arrivals.removeAll(due.toSet())
+        due.forEach { arrival ->
+            val stream = arrival.stream
+            val (to, link) =
+                if (arrival.isToParent) {
+                    exchanges[stream.parent] to stream.parentEnd
+                } else {
+                    exchanges[stream.child] to stream.childEnd
+                }
+            to.receive(link, arrival.batch).getOrElse { error("batch refused: $it") }
+        }
+    }
+
+    companion object {
+        /** Entries in turn over the failure domains, two of which make a region. */
+        fun places(count: Int, failureDomains: Int): List<EntryPlace> =
+            List(count) {
+                val failureDomain = it % failureDomains
+                EntryPlace(
+                    InstanceId("entry-$it"),
+                    RegionId("region-${failureDomain / 2}"),
+                    FailureDomainId("domain-$failureDomain"),
+                )
+            }
+    }
+}
