Prove the agent's thin path and its admission and grant decisions

Cause: the thin agent had no tests of its own. A target at its cold limit takes over a new cold limit; before, an agent stayed at one slot. The limit stays while a round is far slower than the learned latency.

--- a/core/src/main/kotlin/toucanrelay/core/admission/AdmissionLimit.kt
+++ b/core/src/main/kotlin/toucanrelay/core/admission/AdmissionLimit.kt
@@ -4,7 +4,7 @@
  * Decides how many requests may run on a target at once.
  *
  * The limit starts at the cold limit and rises only on evidence: a round of completions while the limit was in use,
- * without a loss of throughput against the round before. It falls to the cold limit at once when the target refuses,
+ * near the learned latency and without a loss of throughput against the round before. It falls to the cold limit at once when the target refuses,
  * fails, shows another start identity or takes many times as long as it did. The shape is that of congestion control
  * (slow start and congestion avoidance, RFC 5681; validation of an unused window, RFC 7661), with completions in the
  * place of acknowledgements. Time alone never raises the limit.
@@ -34,10 +34,11 @@
     public val isCold: Boolean
         get() = current < terms.slots
 
-    /** Puts other [terms] into force; the limit never rises by that alone. */
+    /** Puts other [terms] into force; a target at its cold limit gets the new cold limit and no more. */
     public fun apply(terms: AdmissionTerms) {
+        val isAtColdLimit = current <= this.terms.coldSlots
         this.terms = terms
-        current = current.coerceAtMost(terms.slots)
+        current = if (isAtColdLimit) terms.coldSlots else current.coerceIn(terms.coldSlots, terms.slots)
     }
 
     /**
@@ -70,7 +71,7 @@
         current = terms.coldSlots
         previous = null
         round = LatencyRound()
-        latency.reset()
+        latency.forgetRecent()
     }
 
     private fun completionsNeeded(): Int =
@@ -84,6 +85,7 @@
         val result = RoundResult(current, round.meanMillisecondsPerUnit)
         val before = previous
         round = LatencyRound()
+        if (!latency.isNear(result.millisecondsPerUnit)) return
         if (before != null && current > before.limit && result.throughput < before.throughput * LEAST_THROUGHPUT_KEPT) {
             current = before.limit
             cautiousAbove = current
@@ -114,7 +116,7 @@
         const val GROWTH_DIVISOR = 4
 
         /** A raise that leaves less than this part of the throughput is taken back. */
-        const val LEAST_THROUGHPUT_KEPT = 0.6
+        const val LEAST_THROUGHPUT_KEPT = 0.7
 
         /** Most rounds of completions for one raise after cuts. */
         const val MAXIMUM_CAUTION = 8
--- a/core/src/main/kotlin/toucanrelay/core/admission/LatencyBaseline.kt
+++ b/core/src/main/kotlin/toucanrelay/core/admission/LatencyBaseline.kt
@@ -15,17 +15,23 @@
         return samples > LEAST_SAMPLES && recent > baseline * JUMP_FACTOR && recent > SHORTEST_JUMP_MILLISECONDS
     }
 
-    fun reset() {
-        samples = 0
+    /** Whether the mean of a round lies near the baseline, so that it speaks for a warm target. */
+    fun isNear(millisecondsPerUnit: Double): Boolean =
+        millisecondsPerUnit <= maxOf(baseline * NEAR_FACTOR, SHORTEST_JUMP_MILLISECONDS)
+
+    /** Forgets the recent samples but not the baseline, which a target that stays slow moves in time. */
+    fun forgetRecent() {
+        recent = baseline
     }
 
     private fun blend(old: Double, sample: Double, weight: Double) = old + (sample - old) * weight
 
     private companion object {
         const val RECENT_WEIGHT = 0.4
-        const val BASELINE_WEIGHT = 0.02
+        const val BASELINE_WEIGHT = 0.01
         const val LEAST_SAMPLES = 16
         const val JUMP_FACTOR = 4.0
+        const val NEAR_FACTOR = 2.0
 
         /** Differences below this are the scheduling of the machine. */
         const val SHORTEST_JUMP_MILLISECONDS = 5.0
--- a/core/src/main/kotlin/toucanrelay/core/grant/StagingDepth.kt
+++ b/core/src/main/kotlin/toucanrelay/core/grant/StagingDepth.kt
@@ -3,13 +3,15 @@
 import toucanrelay.core.time.Clock
 import kotlin.math.abs
 import kotlin.math.ceil
+import kotlin.math.sqrt
 
 /**
  * Decides how many admitted requests wait at the agent for the next free slot while work waits at entries.
  *
- * A slot that comes free would stay idle for one round trip of a grant. The depth is the number of slots that come free
- * in a round trip, by Little's law: completion rate times round trip, rounded up. It is the least that keeps slots busy,
- * and so binds requests to slots as late as possible. The round trip is smoothed as in RFC 6298.
+ * A slot that comes free would stay idle for one round trip of a grant. By Little's law, completion rate times round trip
+ * is the mean number of slots that come free meanwhile; the depth adds the square root of it for their spread, as
+ * square-root staffing does (Halfin and Whitt, 1981), and no more, so that requests are bound to slots late. The round
+ * trip is smoothed as in RFC 6298.
  *
  * Not safe for use by several threads at once.
  *
@@ -59,7 +61,7 @@
     public fun depth(limit: Int): Int {
         if (!hasRoundTrip || intervalMilliseconds <= 0.0) return 1
         val freed = (roundTripMilliseconds + deviationMilliseconds) / intervalMilliseconds
-        return ceil(freed).toInt().coerceIn(1, limit.coerceAtLeast(1))
+        return ceil(freed + sqrt(freed)).toInt().coerceIn(1, limit.coerceAtLeast(1))
     }
 
     private companion object {
--- /dev/null
+++ b/core/src/test/kotlin/toucanrelay/core/admission/ForeignLoadTest.kt
@@ -0,0 +1,58 @@
+package toucanrelay.core.admission
+
+import io.kotest.common.ExperimentalKotest
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.long
+import io.kotest.property.arbitrary.pair
+import io.kotest.property.checkAll
+import toucanrelay.core.time.ManualClock
+
+@OptIn(ExperimentalKotest::class)
+class ForeignLoadTest :
+    DescribeSpec({
+        describe("the estimate of foreign load") {
+            it("finds what the target runs beyond this agent's work") {
+                val clock = ManualClock(100_000)
+                val load = ForeignLoad(clock)
+                load.inFlight(3)
+                clock.advance(2_000)
+
+                load.reported(requests = 5, ageMilliseconds = 200)
+
+                load.requests shouldBe 2
+            }
+
+            it("forgets a report that is too old") {
+                val clock = ManualClock(100_000)
+                val load = ForeignLoad(clock)
+                load.reported(requests = 5, ageMilliseconds = 0)
+                clock.advance(5_001)
+
+                load.requests shouldBe 0
+            }
+
+            it("takes no lagging report of this agent's own work for foreign load") {
+                val steps = Arb.list(Arb.pair(Arb.long(0L..700L), Arb.int(0..16)), 1..80)
+                checkAll(PropTestConfig(seed = 4203), steps, Arb.long(0L..3_000L)) { changes, age ->
+                    val clock = ManualClock(100_000)
+                    val load = ForeignLoad(clock)
+                    val history = mutableListOf(100_000L to 0)
+                    changes.forEach { (wait, inFlight) ->
+                        clock.advance(wait)
+                        load.inFlight(inFlight)
+                        history += clock.nowMilliseconds() to inFlight
+                    }
+                    val truth = history.last { (at, _) -> at <= maxOf(100_000L, clock.nowMilliseconds() - age) }.second
+
+                    load.reported(truth, age)
+
+                    load.requests shouldBe 0
+                }
+            }
+        }
+    })
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/WorkDesk.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/WorkDesk.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.DelicateCoroutinesApi
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
@@ -318,6 +319,8 @@
         board.capacityChanged()
     }
 
+    /** Starts the work atomically, so that it ends through [ended] even when it is cut before it begins. */
+    @OptIn(DelicateCoroutinesApi::class)
     private fun start(run: Run) {
         run.startedAtMilliseconds = now()
         run.job = context.scope.launch(start = CoroutineStart.ATOMIC) { carryOut(run) }
@@ -370,7 +373,7 @@
         val limitBefore = tables.limit.current
         when (outcome) {
             is TargetOutcome.Whole -> learn(run, outcome)
-            is TargetOutcome.NotRun -> tables.limit.cut()
+            is TargetOutcome.NotRun -> if (outcome.reason in FAILURES_OF_THE_TARGET) tables.limit.cut()
             is TargetOutcome.Lost -> if (outcome.reason in FAILURES_OF_THE_TARGET) tables.limit.cut()
         }
         if (tables.limit.current < limitBefore) {
@@ -416,7 +419,13 @@
     private companion object {
         const val OVERLOADED = 503
         const val FIRST_ERROR = 400
-        val FAILURES_OF_THE_TARGET = setOf(RefusalReason.ANSWER_LOST, RefusalReason.TARGET_FAILED)
+        val FAILURES_OF_THE_TARGET =
+            setOf(
+                RefusalReason.TARGET_REFUSED,
+                RefusalReason.TARGET_UNREACHABLE,
+                RefusalReason.ANSWER_LOST,
+                RefusalReason.TARGET_FAILED,
+            )
     }
 }
 
--- /dev/null
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/agent/FakeFleet.kt
@@ -0,0 +1,66 @@
+package toucanrelay.daemon.agent
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.coroutines.flow.MutableStateFlow
+import toucanrelay.core.bundle.Bundle
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.identity.RequestId
+import toucanrelay.core.refusal.RefusalReason
+import toucanrelay.daemon.fleet.BundleExchange
+import toucanrelay.daemon.fleet.BundleRegister
+import toucanrelay.daemon.fleet.FleetDirectory
+import toucanrelay.daemon.fleet.ServiceLedger
+import toucanrelay.daemon.order.OrderDesk
+import toucanrelay.daemon.order.OrderKey
+import toucanrelay.daemon.order.OrderStart
+import toucanrelay.platform.instances.InstanceRecord
+import toucanrelay.wire.BundleUpdate
+import toucanrelay.wire.BundleWanted
+import toucanrelay.wire.Heartbeat
+
+/** The parts of a daemon that an agent reads from, set by hand. */
+class FakeFleet(
+    bundle: Bundle?,
+) : BundleRegister,
+    BundleExchange,
+    FleetDirectory,
+    ServiceLedger,
+    OrderDesk {
+    override val current = MutableStateFlow(bundle)
+    override val instances = MutableStateFlow<PersistentList<InstanceRecord>>(persistentListOf())
+    override val linkedAgents = MutableStateFlow<PersistentList<InstanceRecord>>(persistentListOf())
+
+    override fun heartbeat(sequence: Long, acknowledged: Long): Heartbeat =
+        Heartbeat
+            .newBuilder()
+            .setSequence(sequence)
+            .setAcknowledged(acknowledged)
+            .setBundleVersion(current.value?.version?.value ?: 0)
+            .build()
+
+    override fun wanted(peer: Heartbeat): BundleWanted? {
+        val held = current.value?.version?.value ?: 0
+        return if (peer.bundleVersion > held) BundleWanted.newBuilder().setHeldVersion(held).build() else null
+    }
+
+    override fun update(request: BundleWanted): BundleUpdate? = null
+
+    override fun accept(update: BundleUpdate) = Unit
+
+    override fun charge(organisation: OrganisationId, units: Double) = Unit
+
+    override fun virtualTime(organisation: OrganisationId): Double = 0.0
+
+    override fun activate(organisation: OrganisationId) = Unit
+
+    override fun deactivate(organisation: OrganisationId) = Unit
+
+    override suspend fun begin(
+        key: OrderKey,
+        bodyDigest: String,
+        request: RequestId,
+    ): Result<OrderStart, RefusalReason> = Err(RefusalReason.CLAIM_UNAVAILABLE)
+}
