--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/AgentTables.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/AgentTables.kt
@@ -6,6 +6,7 @@
 import toucanrelay.core.admission.Placement
 import toucanrelay.core.admission.RequestMemory
 import toucanrelay.core.admission.SlotTable
+import toucanrelay.core.bundle.ServiceWeights
 import toucanrelay.core.grant.Grant
 import toucanrelay.core.grant.GrantId
 import toucanrelay.core.grant.GrantScheduler
@@ -14,7 +15,9 @@
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.core.identity.Pool
 import toucanrelay.core.identity.RequestId
+import toucanrelay.core.refusal.RefusalReason
 import toucanrelay.core.time.Clock
+import toucanrelay.daemon.agent.target.TargetOutcome
 
 /**
  * The agent's decisions about its slots, put together; guarded by the lock of [WorkDesk].
@@ -62,4 +65,33 @@
     /** Slots that entries may fill without a grant: none while requests wait. */
     fun freeSlots(pools: Set<Pool>): Int =
         if (scheduler.hasDemand(pools)) 0 else (slots.spare - scheduler.outstanding).coerceAtLeast(0)
+
+    /** Draws from the [outcome] of a request that took [milliseconds] what the target bears. */
+    fun learn(outcome: TargetOutcome, milliseconds: Long, weights: ServiceWeights) {
+        when (outcome) {
+            is TargetOutcome.Whole -> learn(outcome, milliseconds, weights)
+            is TargetOutcome.NotRun -> if (outcome.reason in FAILURES_OF_THE_TARGET) limit.cut()
+            is TargetOutcome.Lost -> if (outcome.reason in FAILURES_OF_THE_TARGET) limit.cut()
+        }
+    }
+
+    private fun learn(outcome: TargetOutcome.Whole, milliseconds: Long, weights: ServiceWeights) {
+        if (outcome.status == OVERLOADED) limit.cut()
+        if (outcome.status >= FIRST_ERROR) return
+        val usage = outcome.usage
+        val units = usage.promptTokens * weights.promptToken + usage.generatedTokens * weights.generatedToken
+        limit.completed(milliseconds / units.coerceAtLeast(1.0), slots.running)
+    }
+
+    private companion object {
+        const val OVERLOADED = 503
+        const val FIRST_ERROR = 400
+        val FAILURES_OF_THE_TARGET =
+            setOf(
+                RefusalReason.TARGET_REFUSED,
+                RefusalReason.TARGET_UNREACHABLE,
+                RefusalReason.ANSWER_LOST,
+                RefusalReason.TARGET_FAILED,
+            )
+    }
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/WorkDesk.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/WorkDesk.kt
@@ -12,7 +12,7 @@
 import toucanrelay.core.admission.Recollection
 import toucanrelay.core.admission.TargetState
 import toucanrelay.core.admission.refusalOf
-import toucanrelay.core.grant.Grant
+import toucanrelay.core.bundle.ServiceWeights
 import toucanrelay.core.grant.GrantId
 import toucanrelay.core.grant.LinkId
 import toucanrelay.core.grant.OrderingPolicy
@@ -32,48 +32,6 @@
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
-/** What became of a request that an entry offered. */
-internal sealed interface Offer {
-    /** The target does not get it. */
-    data class Refused(
-        val reason: RefusalReason,
-        val detail: String,
-    ) : Offer
-
-    /** It runs, or waits for the next slot when [isStaged]. */
-    class Taken(
-        val run: Run,
-        val isStaged: Boolean,
-    ) : Offer
-}
-
-/** Where entries hear what the agent decided; called with the desk's lock held, so it must not wait. */
-internal interface LinkBoard {
-    /** Links in the order in which they get what cannot be split evenly. */
-    val links: List<LinkId>
-
-    /** Sends a grant. */
-    fun send(grant: Grant)
-
-    /** Notes that the capacity to announce may have changed. */
-    fun capacityChanged()
-}
-
-/** The capacity to announce to one link. */
-internal data class Announcement(
-    val limit: Int,
-    val inFlight: Int,
-    val staged: Int,
-    val free: Int,
-    val isCold: Boolean,
-    val isDraining: Boolean,
-    val pools: Set<String>,
-) {
-    /** Whether an entry would act no differently; counts of requests alone do not matter to it. */
-    fun isAlike(other: Announcement?): Boolean =
-        other != null && copy(inFlight = other.inFlight, staged = other.staged) == other
-}
-
 /**
  * Takes requests in, runs them on the target and hands their answers out; the only way to the target.
  *
@@ -371,29 +329,19 @@
 
     private fun learn(run: Run, outcome: TargetOutcome) {
         val limitBefore = tables.limit.current
-        when (outcome) {
-            is TargetOutcome.Whole -> learn(run, outcome)
-            is TargetOutcome.NotRun -> if (outcome.reason in FAILURES_OF_THE_TARGET) tables.limit.cut()
-            is TargetOutcome.Lost -> if (outcome.reason in FAILURES_OF_THE_TARGET) tables.limit.cut()
-        }
+        val startedAt = run.startedAtMilliseconds ?: return
+        tables.learn(
+            outcome,
+            now() - startedAt,
+            context.bundles.current.value
+                ?.weights ?: ServiceWeights(),
+        )
         if (tables.limit.current < limitBefore) {
             meters.limitCut()
             Logger.warn("agent: limit cut from {} to {}", limitBefore, tables.limit.current)
         }
     }
 
-    private fun learn(run: Run, outcome: TargetOutcome.Whole) {
-        if (outcome.status == OVERLOADED) tables.limit.cut()
-        if (outcome.status >= FIRST_ERROR) return
-        val weights =
-            context.bundles.current.value
-                ?.weights ?: return
-        val usage = outcome.usage
-        val units = usage.promptTokens * weights.promptToken + usage.generatedTokens * weights.generatedToken
-        val milliseconds = now() - (run.startedAtMilliseconds ?: return)
-        tables.limit.completed(milliseconds / units.coerceAtLeast(1.0), tables.slots.running)
-    }
-
     /** Ends a run that may have reached the target, or takes it out when it has not. */
     private fun cut(run: Run, reason: RefusalReason) {
         val job = run.job
@@ -415,18 +363,6 @@
     }
 
     private fun now() = context.clock.nowMilliseconds()
-
-    private companion object {
-        const val OVERLOADED = 503
-        const val FIRST_ERROR = 400
-        val FAILURES_OF_THE_TARGET =
-            setOf(
-                RefusalReason.TARGET_REFUSED,
-                RefusalReason.TARGET_UNREACHABLE,
-                RefusalReason.ANSWER_LOST,
-                RefusalReason.TARGET_FAILED,
-            )
-    }
 }
 
 /** The run of a process that the wire names. */
