Build daemons on the fleet's own exchange

Cause: FleetNode stands; the interim parts that read only the platform are not needed any more.

PUT /bundle answers 503 bundle-not-confirmed when the process holds the bundle but cannot know whether it is the latest; /status states both versions.

Conclusion: the whole path runs over the fleet's exchange.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/FleetNode.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import toucanrelay.core.bundle.Bundle
+import toucanrelay.core.bundle.BundleVersion
 import toucanrelay.core.distribution.PollSchedule
 import toucanrelay.core.exchange.EntryPlace
 import toucanrelay.core.identity.FailureDomainId
@@ -66,6 +67,10 @@
     /** The bundle in force. */
     public val bundles: BundleRegister = held
 
+    /** The version held, whether or not it is in force; zero for none. */
+    public val heldVersion: BundleVersion
+        get() = BundleVersion(held.version.value)
+
     /** Passes bundles over links. */
     public val bundleExchange: BundleExchange = held
 
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/BundleOffer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/BundleOffer.kt
@@ -4,14 +4,10 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
-import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapError
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.daemon.fleet.BundleExchange
-import toucanrelay.daemon.fleet.BundleRegister
-import toucanrelay.daemon.fleet.toUpdate
+import toucanrelay.daemon.fleet.FleetNode
 import toucanrelay.platform.bundle.BundleError
-import toucanrelay.platform.bundle.BundleVerifier
 import toucanrelay.platform.bundle.SignedBundle
 
 /** Why a bundle that an operator handed to this process is not in force. */
@@ -26,41 +22,45 @@
             get() = cause.detail
     }
 
-    /** A version that is not lower is in force. */
+    /** The process holds a version that is not lower. */
     data class NotHigher(
-        val inForce: BundleVersion,
+        val held: BundleVersion,
     ) : OfferError {
         override val detail: String
-            get() = "version $inForce is in force"
+            get() = "the process holds version $held"
     }
 
     /** The bundle was taken in but is not in force, as this process cannot know yet whether it is the latest. */
     data object NotConfirmed : OfferError {
         override val detail: String
-            get() = "the bundle is held and not yet in force"
+            get() = "the bundle is held until the table service or a peer confirms that none is newer"
     }
 }
 
 /** Takes in bundles that operators hand to this process directly. */
 internal class BundleOffer(
-    private val verifier: BundleVerifier,
-    private val register: BundleRegister,
-    private val exchange: BundleExchange,
+    private val fleet: FleetNode,
 ) {
     /** Puts the signed bundle in [text] in force. */
     fun offer(text: String): Result<BundleVersion, OfferError> =
         SignedBundle
             .parse(text)
-            .andThen { signed -> verifier.verify(signed).map { signed } }
             .mapError { OfferError.Refused(it) }
             .andThen { accept(it) }
 
     private fun accept(signed: SignedBundle): Result<BundleVersion, OfferError> {
-        val before = register.current.value?.version
-        if (before != null && before >= signed.version) return Err(OfferError.NotHigher(before))
-        exchange.accept(signed.toUpdate())
-        val after = register.current.value?.version
-        if (after == null || after < signed.version) return Err(OfferError.NotConfirmed)
-        return Ok(after)
+        val before = fleet.heldVersion
+        return fleet
+            .offer(signed)
+            .mapError { OfferError.Refused(it) }
+            .andThen { outcome(signed.version, before) }
+    }
+
+    private fun outcome(offered: BundleVersion, before: BundleVersion): Result<BundleVersion, OfferError> {
+        if (before >= offered) return Err(OfferError.NotHigher(before))
+        val inForce =
+            fleet.bundles.current.value
+                ?.version
+        return if (inForce != null && inForce >= offered) Ok(inForce) else Err(OfferError.NotConfirmed)
     }
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/Composition.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/Composition.kt
@@ -3,19 +3,17 @@
 import toucanrelay.daemon.agent.AgentRole
 import toucanrelay.daemon.entry.EntryRole
 import toucanrelay.daemon.entry.EntryTerms
-import toucanrelay.daemon.fleet.StoreFleet
+import toucanrelay.daemon.fleet.FleetNode
 import toucanrelay.daemon.order.OrderDesk
 import toucanrelay.daemon.order.TableOrderDesk
 
 /**
  * Which implementations a daemon is built from; tests replace single ones.
  *
- * @property fleet builds the parts that act together with the other processes.
  * @property orders builds the claims of non-idempotent orders.
  * @property role builds the entry or the agent.
  */
 public class Composition(
-    public val fleet: (DaemonFoundation) -> FleetParts = { StoreFleet(it) },
     public val orders: (DaemonFoundation) -> OrderDesk = { TableOrderDesk(it.platform, it.scope) },
     public val role: (DaemonContext) -> Role = ::roleOf,
 )
@@ -26,8 +24,21 @@
     return EntryRole(context, EntryTerms(announceMilliseconds = entry.notReadyNoticeMilliseconds))
 }
 
+/** Builds what this process shares with the rest of the fleet. */
+internal fun DaemonFoundation.toFleetNode(): FleetNode =
+    FleetNode(
+        settings = settings,
+        run = run,
+        clock = clock,
+        scope = scope,
+        meters = meters,
+        tables = platform,
+        instances = platform,
+        verifier = verifier,
+    )
+
 /** Builds the context that the parts of one daemon share. */
-internal fun DaemonFoundation.toContext(fleet: FleetParts, orders: OrderDesk): DaemonContext =
+internal fun DaemonFoundation.toContext(fleet: FleetNode, orders: OrderDesk): DaemonContext =
     DaemonContext(
         settings = settings,
         run = run,
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/Daemon.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/Daemon.kt
@@ -19,6 +19,7 @@
 import toucanrelay.core.identity.ProcessRun
 import toucanrelay.core.time.Clock
 import toucanrelay.core.time.MonotonicClock
+import toucanrelay.daemon.fleet.FleetNode
 import toucanrelay.daemon.settings.DaemonSettings
 import toucanrelay.daemon.settings.publicKeys
 import toucanrelay.platform.bundle.BundleVerifier
@@ -116,15 +117,14 @@
         JvmMemoryMetrics().bindTo(meters)
         ProcessorMetrics().bindTo(meters)
         val foundation = foundation()
-        val fleet = composition.fleet(foundation)
+        val fleet = foundation.toFleetNode()
         val role = composition.role(foundation.toContext(fleet, composition.orders(foundation)))
-        val offer = BundleOffer(foundation.verifier, fleet.bundles, fleet.bundleExchange)
         return DaemonParts(
             foundation = foundation,
             fleet = fleet,
             role = role,
             linkServer = LinkServer(settings.link, role.services + fleet.services),
-            operatorsServer = OperatorsServer(foundation.vertx, meters, offer) { status(fleet, role) },
+            operatorsServer = OperatorsServer(foundation.vertx, meters, BundleOffer(fleet)) { status(fleet, role) },
         )
     }
 
@@ -142,7 +142,7 @@
         )
     }
 
-    private fun status(fleet: FleetParts, role: Role): StatusDocument =
+    private fun status(fleet: FleetNode, role: Role): StatusDocument =
         StatusDocument(
             instanceId = settings.instanceId,
             incarnation = run.incarnation.value,
@@ -153,9 +153,11 @@
             ready = state == DaemonState.RUNNING && role.isReady(),
             stopping = state == DaemonState.STOPPING,
             bundleVersion =
-                fleet.bundles.current.value
+                fleet.bundles
+                    .inForce()
                     ?.version
                     ?.value,
+            heldBundleVersion = fleet.heldVersion.value.takeIf { it > 0 },
             knownInstances = fleet.directory.instances.value.size,
         )
 
@@ -182,7 +184,7 @@
 /** All parts of one daemon. */
 internal class DaemonParts(
     val foundation: DaemonFoundation,
-    val fleet: FleetParts,
+    val fleet: FleetNode,
     val role: Role,
     val linkServer: LinkServer,
     val operatorsServer: OperatorsServer,
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/StatusDocument.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/StatusDocument.kt
@@ -14,6 +14,7 @@
  * @property ready whether callers and peers may send work.
  * @property stopping whether the process is shutting down.
  * @property bundleVersion version of the bundle in force; null when there is none.
+ * @property heldBundleVersion version that the process holds, in force or not; null when there is none.
  * @property knownInstances instances that the process knows.
  */
 @Serializable
@@ -27,6 +28,7 @@
     public val ready: Boolean,
     public val stopping: Boolean,
     public val bundleVersion: Long? = null,
+    public val heldBundleVersion: Long? = null,
     public val knownInstances: Int,
 )
 
