--- a/core/src/main/kotlin/toucanrelay/core/retry/AttemptOutcome.kt
+++ b/core/src/main/kotlin/toucanrelay/core/retry/AttemptOutcome.kt
@@ -6,7 +6,9 @@
 /** How an attempt at a request ended when it gave no whole answer. */
 public sealed interface AttemptOutcome {
     /**
-     * The agent proved that the target did not get the request.
+     * The agent proved that the target did not get the request in this attempt.
+     *
+     * A duplicate may have run in the attempt that it repeats.
      *
      * @property reason why the agent refused.
      */
@@ -35,7 +37,8 @@
     public val mayHaveRun: Boolean
         get() =
             when (this) {
-                is Refused, NeverSent -> false
+                is Refused -> reason == RefusalReason.DUPLICATE_REQUEST
+                is NeverSent -> false
                 is Lost -> true
                 is Failed -> executed == Executed.UNKNOWN
             }
--- a/core/src/main/kotlin/toucanrelay/core/retry/RetryPolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/retry/RetryPolicy.kt
@@ -149,6 +149,7 @@
             RefusalReason.TARGET_REFUSED,
             RefusalReason.NO_BUNDLE,
             RefusalReason.SHUTTING_DOWN,
+            RefusalReason.DUPLICATE_REQUEST,
         )
 
     /** Refusals that cost the target nothing and that the queue answers by choosing another target. */
--- a/core/src/main/kotlin/toucanrelay/core/routing/RoutingPolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/routing/RoutingPolicy.kt
@@ -22,7 +22,7 @@
     /** The target to which [request] is sent now without a grant; null when it has to wait. */
     public fun choose(request: WaitingRequest, candidates: List<Candidate>, nowMilliseconds: Long): Candidate? {
         if (request.isGrantOnly) return null
-        val usable = candidates.filter { it.free > 0 && it.target !in request.refusedBy }
+        val usable = candidates.filter { it.free > 0 && !isTriedLast(request, it, candidates) }
         val (local, remote) = usable.partition(::isLocal)
         return when {
             local.isNotEmpty() -> best(local, meanLoad(candidates.filter(::isLocal)))
@@ -37,7 +37,9 @@
         candidate: Candidate,
         candidates: List<Candidate>,
         nowMilliseconds: Long,
-    ): Boolean = isLocal(candidate) || mayUseRemote(request, candidates, nowMilliseconds)
+    ): Boolean =
+        !isTriedLast(request, candidate, candidates) &&
+            (isLocal(candidate) || mayUseRemote(request, candidates, nowMilliseconds))
 
     /** Whether [request] may leave the region: its own region cannot serve it in time and the budget allows it. */
     public fun mayUseRemote(request: WaitingRequest, candidates: List<Candidate>, nowMilliseconds: Long): Boolean {
@@ -52,6 +54,10 @@
     /** Bytes that [request] and its answer are expected to put on a link. */
     public fun linkBytes(request: WaitingRequest): Long = request.bodyBytes + request.expectedAnswerBytes
 
+    /** Whether [candidate] refused the request before and there is another that did not. */
+    private fun isTriedLast(request: WaitingRequest, candidate: Candidate, candidates: List<Candidate>): Boolean =
+        candidate.target in request.refusedBy && candidates.any { it.target !in request.refusedBy }
+
     private fun best(usable: List<Candidate>, meanLoad: Double): Candidate =
         usable.minWith(
             compareByDescending<Candidate> { it.holdsPrefix && it.load <= loadBound(meanLoad) }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
@@ -99,7 +99,21 @@
         }
 
     /** Notes that the target of [assignment] refused. */
-    fun refused(assignment: Assignment) = lock.withLock { views[assignment.link]?.refused() }
+    fun refused(assignment: Assignment) =
+        lock.withLock {
+            assignment.allowedBy?.let { views[assignment.link]?.capacity?.end(it) }
+            views[assignment.link]?.capacity?.refuse(now())
+        }
+
+    /** Notes that the attempt on the target of [assignment] ended. */
+    fun ended(assignment: Assignment) =
+        lock.withLock {
+            val view = views[assignment.link]
+            if (view != null && assignment.allowedBy != null) {
+                view.capacity.end(assignment.allowedBy)
+                queues.pools.filter { it in view.pools }.forEach(::dispatch)
+            }
+        }
 
     /** Gives up requests that cannot be served any more, and looks again at those that may now leave the region. */
     fun sweep() =
@@ -114,7 +128,7 @@
 
     override fun onLinkAdded(link: AgentLink) =
         lock.withLock {
-            views[link] = TargetView(link, clock.nowMilliseconds())
+            views[link] = TargetView(link, now())
         }
 
     override fun onLinkRemoved(link: AgentLink) =
@@ -131,7 +145,7 @@
 
     override fun onDisconnected(link: AgentLink) =
         lock.withLock {
-            views[link]?.disconnected(clock.nowMilliseconds())
+            views[link]?.disconnected(now())
             Unit
         }
 
@@ -150,8 +164,7 @@
             val view = views[link]
             val session = view?.session ?: return
             val request = view.takeIf { it.isUsable }?.let { requestFor(grant, it) }
-            if (request == null) decline(session, grant) else assign(request, view, grant.grantId)
-            Unit
+            if (request == null) decline(session, grant) else assign(request, view, grant.grantId, null)
         }
 
     override fun onCacheChange(link: AgentLink, change: CacheChange) =
@@ -194,11 +207,9 @@
     }
 
     private fun mayBind(request: WaitingRequest, view: TargetView): Boolean {
-        val candidate = view.candidateFor(request)
+        val candidate = view.candidateFor(request, now())
         if (routing.isLocal(candidate) && view.target !in request.refusedBy) return true
-        val candidates = candidatesFor(request)
-        val isTriedLast = view.target in request.refusedBy && candidates.any { it.target !in request.refusedBy }
-        return !isTriedLast && routing.mayBind(request, candidate, candidates, clock.nowMilliseconds())
+        return routing.mayBind(request, candidate, candidatesFor(request), now())
     }
 
     private fun place(request: WaitingRequest): Ticket {
@@ -210,7 +221,7 @@
     }
 
     private fun dispatch(pool: Pool) {
-        while (views.values.any { it.isUsable && pool in it.pools && it.hasFree }) {
+        while (views.values.any { it.isUsable && pool in it.pools && it.capacity.available(now()) > 0 }) {
             val started = queues.heads(pool, account.policy).any(::push)
             if (!started) break
         }
@@ -218,23 +229,27 @@
     }
 
     private fun push(request: WaitingRequest): Boolean {
-        val chosen = routing.choose(request, candidatesFor(request), clock.nowMilliseconds()) ?: return false
+        val chosen = routing.choose(request, candidatesFor(request), now()) ?: return false
         val view = views.values.first { it.target == chosen.target && it.isUsable }
-        view.sent()
-        return assign(request, view, grantId = 0)
+        assign(request, view, grantId = 0, allowedBy = view.capacity.send())
+        return true
     }
 
-    private fun assign(request: WaitingRequest, view: TargetView, grantId: Long): Boolean {
+    private fun assign(
+        request: WaitingRequest,
+        view: TargetView,
+        grantId: Long,
+        allowedBy: Long?,
+    ) {
         val session = checkNotNull(view.session)
-        val isRemote = !routing.isLocal(view.candidateFor(request))
+        val isRemote = !routing.isLocal(view.candidateFor(request, now()))
         if (isRemote) budget.reserve(routing.linkBytes(request))
         queues.start(request)
         account.charge(request.organisation, request.cost)
         noteLeft(request)
         val ticket = tickets.remove(request.id)
-        meters.waited(clock.nowMilliseconds() - request.arrivedAtMilliseconds)
-        ticket?.decision?.complete(Ok(Assignment(view.link, session, grantId, isRemote)))
-        return true
+        meters.waited(now() - request.arrivedAtMilliseconds)
+        ticket?.decision?.complete(Ok(Assignment(view.link, session, grantId, allowedBy, isRemote)))
     }
 
     /** Replaces the bytes reserved for [request] by those that went over the link to another region. */
@@ -273,7 +288,7 @@
     private fun isHopeless(pool: Pool): Boolean = views.values.none { isHopeful(it, pool) }
 
     private fun isHopeful(view: TargetView, pool: Pool): Boolean {
-        val isAwaited = view.isAwaited(clock.nowMilliseconds(), terms.reconnectGraceMilliseconds)
+        val isAwaited = view.isAwaited(now(), terms.reconnectGraceMilliseconds)
         val mayServe =
             if (isAwaited) {
                 bundledPools(view)?.contains(pool) == true
@@ -287,10 +302,12 @@
     private fun candidatesFor(request: WaitingRequest): List<Candidate> =
         views.values
             .filter { it.isUsable && request.pool in it.pools && isInService(it) }
-            .map { it.candidateFor(request) }
+            .map { it.candidateFor(request, now()) }
 
     private fun isInService(view: TargetView): Boolean = bundles.current.value?.isInService(view.target) == true
 
+    private fun now() = clock.nowMilliseconds()
+
     private fun bundledPools(view: TargetView) =
         bundles.current.value
             ?.targets
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/RequestRunner.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/RequestRunner.kt
@@ -104,6 +104,8 @@
         } finally {
             settle(attempt, outcome)
             settleRemote(attempt, assignment)
+            val isRefused = outcome is AttemptOutcome.Refused
+            if (isRefused) parts.dispatcher.refused(assignment) else parts.dispatcher.ended(assignment)
         }
     }
 
@@ -130,7 +132,6 @@
 
     private fun decide(outcome: AttemptOutcome, assignment: Assignment): RetryDecision {
         attempts.isAnswerStarted = answer.isStarted
-        if (outcome is AttemptOutcome.Refused) parts.dispatcher.refused(assignment)
         if (outcome.mayHaveRun) cancelAt(assignment)
         return attempts.decide(outcome, clock.nowMilliseconds())
     }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/TargetView.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/TargetView.kt
@@ -9,6 +9,7 @@
 import toucanrelay.core.identity.TargetId
 import toucanrelay.core.queue.WaitingRequest
 import toucanrelay.core.routing.Candidate
+import toucanrelay.core.routing.FreeCapacity
 import toucanrelay.core.routing.Location
 import toucanrelay.core.routing.PrefixIndex
 import toucanrelay.daemon.entry.link.AgentLink
@@ -21,12 +22,12 @@
     addedAtMilliseconds: Long,
 ) {
     val prefixes = PrefixIndex()
+    val capacity = FreeCapacity()
     var session: AgentSession? = null
         private set
     var pools: PersistentSet<Pool> = persistentSetOf()
         private set
     private var limit = 0
-    private var free = 0
     private var isDraining = false
     private var isCapacityKnown = false
     private var unconnectedSinceMilliseconds = addedAtMilliseconds
@@ -39,42 +40,28 @@
     val isUsable: Boolean
         get() = session != null && !isDraining
 
-    /** Whether a request may be sent without a grant. */
-    val hasFree: Boolean
-        get() = free > 0
-
     fun connected(newSession: AgentSession) {
         session = newSession
         isDraining = false
         isCapacityKnown = false
         limit = 0
-        free = 0
+        capacity.announce(0)
         prefixes.apply(emptyList(), emptyList(), isReset = true)
     }
 
     fun disconnected(nowMilliseconds: Long) {
         session = null
         limit = 0
-        free = 0
+        capacity.announce(0)
         unconnectedSinceMilliseconds = nowMilliseconds
     }
 
-    fun update(capacity: Capacity) {
+    fun update(stated: Capacity) {
         isCapacityKnown = true
-        limit = capacity.limit
-        free = capacity.free
-        isDraining = capacity.draining
-        pools = capacity.poolsList.map { Pool.named(it) }.toPersistentSet()
-    }
-
-    /** Counts a request that was sent without a grant. */
-    fun sent() {
-        free -= 1
-    }
-
-    /** Notes that the target refused, so that nothing more is sent until its agent states new capacity. */
-    fun refused() {
-        free = 0
+        limit = stated.limit
+        capacity.announce(stated.free)
+        isDraining = stated.draining
+        pools = stated.poolsList.map { Pool.named(it) }.toPersistentSet()
     }
 
     /** Whether the target may be usable in a moment: its link broke or began only just now. */
@@ -85,6 +72,12 @@
             !isCapacityKnown
         }
 
-    fun candidateFor(request: WaitingRequest): Candidate =
-        Candidate(target, location, limit, free, request.prefixHash?.let { it in prefixes } == true)
+    fun candidateFor(request: WaitingRequest, nowMilliseconds: Long): Candidate =
+        Candidate(
+            target = target,
+            location = location,
+            limit = limit,
+            free = capacity.available(nowMilliseconds),
+            holdsPrefix = request.prefixHash?.let { it in prefixes } == true,
+        )
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Ticket.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Ticket.kt
@@ -12,12 +12,14 @@
  * The target that a request is sent to.
  *
  * @property grantId zero when the request is sent without a grant.
+ * @property allowedBy the announcement of capacity that allowed it; null when it is sent by a grant.
  * @property isRemote whether the target is in another region.
  */
 internal class Assignment(
     val link: AgentLink,
     val session: AgentSession,
     val grantId: Long,
+    val allowedBy: Long?,
     val isRemote: Boolean,
 )
 
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/PrefixHash.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/PrefixHash.kt
@@ -1,15 +1,37 @@
 package toucanrelay.daemon.entry.http
 
 import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import java.nio.ByteBuffer
+import java.security.MessageDigest
 
 /** Hashes the beginning of a prompt in the way in which engines name the entries of their prefix cache. */
 internal object PrefixHash {
-    private const val OFFSET_BASIS = -3750763034362895579L
-    private const val PRIME = 1099511628211L
+    /** Characters of the prompt that the hash covers. */
+    private const val PREFIX_CHARACTERS = 256
 
-    /** 64-bit FNV-1a of the first message. Source: RFC draft "The FNV non-cryptographic hash algorithm". */
-    fun of(messages: JsonArray): Long =
-        messages.first().toString().toByteArray().fold(OFFSET_BASIS) { hash, byte ->
-            (hash xor (byte.toLong() and 0xff)) * PRIME
+    /** The first eight bytes, big-endian, of the SHA-256 of the beginning of all contents joined by line feeds. */
+    fun of(messages: JsonArray): Long {
+        val prefix = messages.joinToString("\n", transform = ::contentOf).take(PREFIX_CHARACTERS)
+        return ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(prefix.encodeToByteArray())).long
+    }
+
+    private fun contentOf(message: JsonElement): String =
+        when (val content = (message as? JsonObject)?.get("content")) {
+            is JsonPrimitive -> {
+                content.content
+            }
+
+            is JsonArray -> {
+                content.joinToString(
+                    "\n",
+                ) { ((it as? JsonObject)?.get("text") as? JsonPrimitive)?.content.orEmpty() }
+            }
+
+            else -> {
+                ""
+            }
         }
 }
