--- /dev/null
+++ b/measure/src/main/kotlin/toucanrelay/measure/quickstart/QuickstartReport.kt
@@ -0,0 +1,78 @@
+package toucanrelay.measure.quickstart
+
+import toucanrelay.measure.load.OrderBook
+import toucanrelay.measure.load.OrganisationMeter
+import toucanrelay.measure.load.milliseconds
+import java.util.Locale
+
+private const val MEDIAN = 50.0
+private const val HIGH_PERCENTILE = 95.0
+private const val PERCENT = 100
+
+/**
+ * What the quickstart prints.
+ *
+ * @param meters what the callers of each organisation saw.
+ * @param orders orders of plain services by organisation.
+ * @param retries retries of the entries by reason.
+ */
+internal class QuickstartReport(
+    private val meters: List<OrganisationMeter>,
+    private val orders: Map<String, OrderBook>,
+    private val retries: Map<String, Long>,
+) {
+    private val shares = meters.sumOf { it.share }
+    private val units = meters.sumOf { it.serviceUnits }.coerceAtLeast(1.0)
+
+    /** Whether every organisation got answers and none was cut off. */
+    val isSound: Boolean
+        get() = meters.all { it.answers > 0 && it.failuresByReason.keys.all { reason -> reason.startsWith("refused") } }
+
+    fun render(): String =
+        buildString {
+            appendLine(
+                row("organisation", "requests", "answers", "tokens", "deserved", "received", "first token", "at p95"),
+            )
+            meters.forEach { appendLine(row(it)) }
+            meters.forEach { append(failures(it)) }
+            orders.forEach { (organisation, book) ->
+                append(counts("$organisation, orders:", book.attemptsByOutcome().mapValues { it.value.toLong() }))
+            }
+            append(counts("retries of the entries:", retries))
+        }
+
+    private fun row(meter: OrganisationMeter): String {
+        val firstToken = meter.firstTokenMicroseconds()
+        return row(
+            meter.organisation,
+            meter.calls.toString(),
+            meter.answers.toString(),
+            meter.tokens.toString(),
+            percent(meter.share / shares),
+            percent(meter.serviceUnits / units),
+            milliseconds(firstToken.milliseconds(MEDIAN)),
+            milliseconds(firstToken.milliseconds(HIGH_PERCENTILE)),
+        )
+    }
+
+    private fun failures(meter: OrganisationMeter) =
+        counts("${meter.organisation}, refusals and failures:", meter.failuresByReason)
+
+    private fun counts(title: String, counts: Map<String, Long>): String =
+        buildString {
+            appendLine(if (counts.isEmpty()) "$title none" else title)
+            counts.forEach { (reason, count) -> appendLine("  $count x $reason") }
+        }
+
+    private fun row(vararg cells: String): String =
+        cells.first().padEnd(FIRST_COLUMN) + cells.drop(1).joinToString("") { it.padStart(COLUMN) }
+
+    private fun percent(part: Double) = String.format(Locale.ROOT, "%.1f %%", part * PERCENT)
+
+    private fun milliseconds(value: Double) = String.format(Locale.ROOT, "%.0f ms", value)
+
+    private companion object {
+        private const val FIRST_COLUMN = 22
+        private const val COLUMN = 13
+    }
+}
--- /dev/null
+++ b/measure/src/test/kotlin/toucanrelay/measure/quickstart/MetricsReaderTest.kt
@@ -0,0 +1,31 @@
+package toucanrelay.measure.quickstart
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+
+private const val RETRIES = "toucanrelay_retries_total"
+
+class MetricsReaderTest :
+    DescribeSpec({
+        describe("a line of metrics") {
+            it("gives the count of its reason") {
+                MetricsReader.parse(RETRIES, """toucanrelay_retries_total{reason="not-run"} 12.0""") shouldBe
+                    ReasonCount("not-run", 12)
+            }
+
+            it("is found among other tags") {
+                val line = """toucanrelay_retries_total{role="entry",reason="not-run",zone="a"} 1.0E3"""
+                MetricsReader.parse(RETRIES, line) shouldBe ReasonCount("not-run", 1_000)
+            }
+
+            listOf(
+                "a comment" to "# TYPE toucanrelay_retries_total counter",
+                "another counter" to """toucanrelay_refusals_total{reason="no-target"} 1.0""",
+                "a counter without a reason" to "toucanrelay_retries_total 1.0",
+            ).forEach { (what, line) ->
+                it("is passed over when it is $what") {
+                    MetricsReader.parse(RETRIES, line) shouldBe null
+                }
+            }
+        }
+    })
