Take a response's body before its request is sent

Cause: HttpPlatformTest sometimes waited its whole time-out for an answer that the server had sent. The body was asked for by a callback attached after send; when the sending thread was held up, the answer had arrived by then and its body was dropped. The agent's clients did the same: an answer from a target could lose its first part or look silent. Ruled out: the server (it had answered), the time-out (20 s made no difference), connection reuse (the agent's client uses none).

--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/EngineAnswer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/EngineAnswer.kt
@@ -206,7 +206,7 @@
         try {
             val sent = connection.connect(HttpMethod.GET, streamPath(request.requestId))
             sent.putHeader("Last-Event-ID", scanner.lastEventId.toString())
-            PendingResponse(sent, sent.send()).await(terms.silenceMilliseconds)
+            PendingResponse(sent).await(terms.silenceMilliseconds)
         } catch (cancelled: CancellationException) {
             throw cancelled
         } catch (failure: Exception) {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/EngineClient.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/EngineClient.kt
@@ -45,7 +45,7 @@
     private fun send(sent: HttpClientRequest, request: ServeRequest): PendingResponse {
         sent.putHeader(REQUEST_ID_HEADER, request.requestId)
         sent.putHeader("Content-Type", "application/json")
-        return PendingResponse(sent, sent.send(Buffer.buffer(request.model.body.toByteArray())))
+        return PendingResponse(sent, Buffer.buffer(request.model.body.toByteArray()))
     }
 
     private suspend fun cancel(requestId: String) {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -1,6 +1,5 @@
 package toucanrelay.daemon.agent.target
 
-import io.vertx.core.Future
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
@@ -32,18 +31,22 @@
     ) : Arrival<Nothing>
 }
 
-/** A request whose response has not begun. */
+/**
+ * A request whose response has not begun; it is sent here, after the handlers of its response are in place, since a part
+ * of the body that no handler takes on arrival is gone.
+ */
 internal class PendingResponse(
     private val request: HttpClientRequest,
-    response: Future<HttpClientResponse>,
+    content: Buffer? = null,
 ) {
     private val begun = CompletableDeferred<Arrival<ResponseBody>>()
 
     init {
-        response.map { ResponseBody(request, it) }.onComplete { result ->
+        request.response().map { ResponseBody(request, it) }.onComplete { result ->
             val body = result.result()
             begun.complete(if (body == null) Arrival.Broken(result.cause().toString()) else Arrival.Piece(body))
         }
+        if (content == null) request.send() else request.send(content)
     }
 
     /** Waits for the head of the response. */
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ServiceClient.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ServiceClient.kt
@@ -30,7 +30,7 @@
             }
         call.headersList.filter { isPassedOn(it.name) }.forEach { sent.headers().add(it.name, it.value) }
         sent.putHeader(REQUEST_ID_HEADER, request.requestId)
-        val pending = PendingResponse(sent, sent.send(Buffer.buffer(call.body.toByteArray())))
+        val pending = PendingResponse(sent, Buffer.buffer(call.body.toByteArray()))
         var isEnded = false
         try {
             return when (val begun = pending.await(Long.MAX_VALUE)) {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/TargetConnection.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/TargetConnection.kt
@@ -56,8 +56,14 @@
             runCatching {
                 val request = connect(method, path)
                 if (body != null) request.putHeader("Content-Type", "application/json")
-                val answer = if (body == null) request.send() else request.send(body)
-                answer.compose { response -> response.body().map { ShortAnswer(response.statusCode(), it) } }.coAwait()
+                val answer =
+                    request.response().compose {
+                        it.body().map { whole ->
+                            ShortAnswer(it.statusCode(), whole)
+                        }
+                    }
+                if (body == null) request.send() else request.send(body)
+                answer.coAwait()
             }.getOrNull()
         }
 
