--- /dev/null
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/BadInputTest.kt
@@ -0,0 +1,147 @@
+package toucanrelay.daemon.entry
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldMatch
+import io.kotest.matchers.string.shouldStartWith
+import toucanrelay.core.bundle.OrganisationLimits
+import kotlin.time.Duration.Companion.seconds
+
+private const val CHAT = "/v1/chat/completions"
+private const val MESSAGES = """"messages":[{"role":"user","content":"x"}]"""
+
+/**
+ * One call that is refused.
+ *
+ * @property problem the problem that the caller is told.
+ */
+private class BadCall(
+    val name: String,
+    val status: Int,
+    val problem: String,
+    val body: String = chatBody(false, 5),
+    val path: String = CHAT,
+    val key: String? = KEY_OF_MILL,
+    val headers: Map<String, String> = emptyMap(),
+)
+
+private val badCalls =
+    listOf(
+        BadCall("no key", 401, "unknown-key", key = null),
+        BadCall("a wrong key", 401, "unknown-key", key = "guessed"),
+        BadCall("no body", 400, "malformed-request", body = ""),
+        BadCall("a body that is not JSON", 400, "malformed-request", body = "{\"model\":"),
+        BadCall("a list", 400, "malformed-request", body = "[]"),
+        BadCall("no model", 400, "malformed-request", body = "{$MESSAGES}"),
+        BadCall("a model that is a number", 400, "malformed-request", body = """{"model":1,$MESSAGES}"""),
+        BadCall("no messages", 400, "malformed-request", body = """{"model":"advice"}"""),
+        BadCall("a message that is text", 400, "malformed-request", body = """{"model":"advice","messages":["x"]}"""),
+        BadCall("stream as text", 400, "malformed-request", body = """{"model":"advice","stream":"yes",$MESSAGES}"""),
+        BadCall("negative tokens", 400, "malformed-request", body = """{"model":"advice","max_tokens":-1,$MESSAGES}"""),
+        BadCall("deep nesting", 400, "malformed-request", body = "[".repeat(3_000)),
+        BadCall("a body above the limit", 413, "body-too-large", body = chatBody(false, 5, prompt = "x".repeat(5_000))),
+        BadCall("an unknown model", 404, "unknown-pool", body = chatBody(false, 5, model = "none")),
+        BadCall("an unknown adapter", 404, "unknown-pool", body = chatBody(false, 5, model = "advice+none")),
+        BadCall("an unknown service", 404, "unknown-pool", path = "/services/none/x"),
+        BadCall("a forbidden service", 403, "forbidden-pool", path = "/services/bookings/x", key = KEY_OF_DEPOT),
+        BadCall("no service", 400, "malformed-request", path = "/services/"),
+        BadCall("a dot segment", 400, "malformed-request", path = "/services/bookings/read/%2e%2e/drops"),
+        BadCall(
+            name = "an endless idempotency key",
+            status = 400,
+            problem = "malformed-request",
+            path = "/services/bookings/drops",
+            headers = mapOf("Idempotency-Key" to "k".repeat(300)),
+        ),
+        BadCall("an unknown path", 404, "unknown-pool", path = "/v2/none"),
+    )
+
+private suspend fun withSmallLimits(terms: EntryTerms = EntryTerms(), test: suspend (FakeAgent, RunningEntry) -> Unit) {
+    val agent = FakeAgent("t1")
+    val limits = OrganisationLimits(waitingRequests = 2, inFlightRequests = 2, bodyBytes = 4_000)
+    TestFleet(bundleOf(mapOf("t1" to advice, "s1" to bookings), limits)).use { fleet ->
+        fleet.link(agent.record)
+        fleet.withEntry(terms) { entry ->
+            test(agent, entry)
+            entry.calls.chat().body() shouldBe "hello"
+            eventually(10.seconds) { entry.gauge("toucanrelay.entry.body.bytes") shouldBe 0.0 }
+        }
+    }
+    agent.close()
+}
+
+class BadInputTest :
+    DescribeSpec({
+        describe("a call that is refused before it is sent") {
+            badCalls.forEach { bad ->
+                it("has ${bad.name}") {
+                    withSmallLimits { agent, entry ->
+                        val answer = entry.calls.post(bad.path, bad.body, bad.key, bad.headers)
+
+                        answer.statusCode() shouldBe bad.status
+                        answer.problem shouldBe bad.problem
+                        answer.executed shouldBe "no"
+                        answer.headers().firstValue("Content-Type").get() shouldBe "application/problem+json"
+                        answer.body() shouldContain "\"requestId\":\""
+                        agent.served.size shouldBe 0
+                        entry.count("toucanrelay.refusals", "reason", bad.problem) shouldBe 1.0
+                    }
+                }
+            }
+        }
+
+        describe("a body that does not arrive") {
+            val terms = EntryTerms(bodyTimeoutMilliseconds = 300)
+
+            it("is refused when it is too slow") {
+                withSmallLimits(terms) { _, entry ->
+                    val answer = entry.calls.raw(rawPost("{\"model\"", contentLength = 500))
+                    answer shouldStartWith "HTTP/1.1 408"
+                    answer shouldContain "incomplete-request"
+                }
+            }
+
+            it("is counted when the caller leaves in its middle") {
+                withSmallLimits(terms) { _, entry ->
+                    java.net.Socket("127.0.0.1", entry.calls.port).use {
+                        it.getOutputStream().write(rawPost("{\"model\"", contentLength = 500).toByteArray())
+                    }
+                    eventually(10.seconds) {
+                        entry.count("toucanrelay.refusals", "reason", "incomplete-request") shouldBe 1.0
+                    }
+                }
+            }
+        }
+
+        describe("garbage on the callers' port") {
+            listOf("\u0000\u0001\u0002garbage\r\n\r\n", "GET\r\n\r\n", "POST / HTTP/9.9\r\n\r\n").forEach { text ->
+                it("closes the connection and harms nobody: ${text.filter { it.isLetter() }}") {
+                    withSmallLimits { _, entry ->
+                        entry.calls.raw(text) shouldMatch
+                            Regex("HTTP/\\d\\.\\d (400|501) [\\s\\S]*")
+                    }
+                }
+            }
+        }
+
+        describe("more requests than the organisation may have") {
+            it("are refused early with the time to come back") {
+                withSmallLimits { agent, entry ->
+                    agent.announce(free = 0)
+                    val waiting =
+                        (1..2).map { entry.calls.send("POST", CHAT, chatBody(false, 5), KEY_OF_MILL, emptyMap()) }
+                    eventually(10.seconds) { entry.gauge("toucanrelay.entry.waiting") shouldBe 2.0 }
+                    val answer = entry.calls.chat()
+
+                    answer.statusCode() shouldBe 429
+                    answer.problem shouldBe "too-many-waiting"
+                    answer.executed shouldBe "no"
+                    answer.headers().firstValue("Retry-After").isPresent shouldBe true
+                    agent.announce(free = 4)
+                    waiting.forEach { it.get().body() shouldBe "hello" }
+                }
+            }
+        }
+    })
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/CallerCalls.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/CallerCalls.kt
@@ -73,3 +73,8 @@
 
 val HttpResponse<String>.problem: String?
     get() = Regex("urn:toucanrelay:problem:([a-z-]+)").find(body())?.groupValues?.get(1)
+
+/** A chat completion as it stands on the wire. */
+fun rawPost(body: String, key: String = KEY_OF_MILL, contentLength: Int = body.length): String =
+    "POST /v1/chat/completions HTTP/1.1\r\nHost: relay\r\nAuthorization: Bearer $key\r\n" +
+        "Content-Length: $contentLength\r\nConnection: close\r\n\r\n$body"
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/TestFleet.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/TestFleet.kt
@@ -270,5 +270,11 @@
 ) {
     val calls = CallerCalls(role.callersPort)
 
+    fun gauge(name: String): Double =
+        context.meters
+            .get(name)
+            .gauge()
+            .value()
+
     fun count(name: String, tag: String, value: String): Double = context.meters.counter(name, tag, value).count()
 }
