--- /dev/null
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/Composition.kt
@@ -0,0 +1,44 @@
+package toucanrelay.daemon.shell
+
+import toucanrelay.daemon.agent.AgentRole
+import toucanrelay.daemon.entry.EntryRole
+import toucanrelay.daemon.entry.EntryTerms
+import toucanrelay.daemon.fleet.StoreFleet
+import toucanrelay.daemon.order.OrderDesk
+import toucanrelay.daemon.order.TableOrderDesk
+
+/**
+ * Which implementations a daemon is built from; tests replace single ones.
+ *
+ * @property fleet builds the parts that act together with the other processes.
+ * @property orders builds the claims of non-idempotent orders.
+ * @property role builds the entry or the agent.
+ */
+public class Composition(
+    public val fleet: (DaemonFoundation) -> FleetParts = { StoreFleet(it) },
+    public val orders: (DaemonFoundation) -> OrderDesk = { TableOrderDesk(it.platform, it.scope) },
+    public val role: (DaemonContext) -> Role = ::roleOf,
+)
+
+/** Builds the role that the settings name. */
+private fun roleOf(context: DaemonContext): Role {
+    val entry = context.settings.entry ?: return AgentRole(context)
+    return EntryRole(context, EntryTerms(announceMilliseconds = entry.notReadyNoticeMilliseconds))
+}
+
+/** Builds the context that the parts of one daemon share. */
+internal fun DaemonFoundation.toContext(fleet: FleetParts, orders: OrderDesk): DaemonContext =
+    DaemonContext(
+        settings = settings,
+        run = run,
+        clock = clock,
+        scope = scope,
+        vertx = vertx,
+        meters = meters,
+        tables = platform,
+        bundles = fleet.bundles,
+        bundleExchange = fleet.bundleExchange,
+        directory = fleet.directory,
+        ledger = fleet.ledger,
+        orders = orders,
+    )
