--- a/core/src/main/kotlin/toucanrelay/core/retry/EventStreamTail.kt
+++ b/core/src/main/kotlin/toucanrelay/core/retry/EventStreamTail.kt
@@ -17,7 +17,7 @@
     /** Takes in [bytes] and returns those that may be given to the caller now. */
     public fun accept(bytes: ByteArray): ByteArray {
         val all = if (held.isEmpty()) bytes else held + bytes
-        val cut = if (all.endsWithDone()) all.size - DONE.size else all.endOfLastEvent()
+        val cut = all.endOfGivable()
         if (all.size - cut > maximumHeldBytes) {
             held = EMPTY
             return all
@@ -29,25 +29,33 @@
     /** Returns what was held back, once the answer is whole. */
     public fun finish(): ByteArray = held.also { held = EMPTY }
 
-    private fun ByteArray.endOfLastEvent(): Int {
-        var end = size
+    /** The end of the last whole event, or its beginning when it is the end mark. */
+    private fun ByteArray.endOfGivable(): Int {
+        val end = endOfEvent(size)
+        return if (isEndMark(end)) endOfEvent(end - 1) else end
+    }
+
+    /** The end of the last whole event that ends at [limit] or before; zero when there is none. */
+    private fun ByteArray.endOfEvent(limit: Int): Int {
+        var end = limit
         while (end > 0 && !isEventEnd(end)) end--
-        return if (end > 0 && copyOfRange(0, end).endsWithDone()) end - DONE.size else end
+        return end
     }
 
     private fun ByteArray.isEventEnd(end: Int): Boolean =
         end >= 2 && this[end - 1] == LINE_FEED &&
             (this[end - 2] == LINE_FEED || (end >= 3 && this[end - 2] == CARRIAGE_RETURN && this[end - 3] == LINE_FEED))
 
-    private fun ByteArray.endsWithDone(): Boolean {
-        if (size < DONE.size) return false
-        val start = size - DONE.size
-        return DONE.indices.all { this[start + it] == DONE[it] }
+    private fun ByteArray.isEndMark(eventEnd: Int): Boolean {
+        var end = eventEnd
+        while (end > 0 && (this[end - 1] == LINE_FEED || this[end - 1] == CARRIAGE_RETURN)) end--
+        val start = end - DONE.size
+        return start >= 0 && DONE.indices.all { this[start + it] == DONE[it] }
     }
 
     private companion object {
         val EMPTY = ByteArray(0)
-        val DONE = "data: [DONE]\n\n".toByteArray()
+        val DONE = "data: [DONE]".toByteArray()
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
     }
--- a/core/src/main/kotlin/toucanrelay/core/routing/ByteBudget.kt
+++ b/core/src/main/kotlin/toucanrelay/core/routing/ByteBudget.kt
@@ -20,10 +20,10 @@
     private var level = burstBytes.toDouble()
     private var filledAtMilliseconds = clock.nowMilliseconds()
 
-    /** Whether [bytes] may be reserved now. */
+    /** Whether [bytes] may be reserved now; more than the burst may be when the bucket is full. */
     public fun isAvailable(bytes: Long): Boolean {
         fill()
-        return level >= minOf(bytes, burstBytes)
+        return level > 0 && level >= minOf(bytes, burstBytes)
     }
 
     /** Reserves [bytes] if they are available. */
