Let a link that is given up end its requests first

Cause: the directory plans links anew as instances come and go; a link that was dropped from the plan was closed with the answers that ran over it, and a target marked as leaving was seen only through its agent.

--- a/core/src/main/kotlin/toucanrelay/core/retry/EventStreamTail.kt
+++ b/core/src/main/kotlin/toucanrelay/core/retry/EventStreamTail.kt
@@ -14,12 +14,17 @@
 ) {
     private var held = EMPTY
 
+    /** Whether an event was too long to be held back, so that a part of it may have been given out. */
+    public var hasSplitEvent: Boolean = false
+        private set
+
     /** Takes in [bytes] and returns those that may be given to the caller now. */
     public fun accept(bytes: ByteArray): ByteArray {
         val all = if (held.isEmpty()) bytes else held + bytes
         val cut = all.endOfGivable()
         if (all.size - cut > maximumHeldBytes) {
             held = EMPTY
+            hasSplitEvent = true
             return all
         }
         held = if (cut == all.size) EMPTY else all.copyOfRange(cut, all.size)
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import toucanrelay.core.bundle.OrganisationLimits
+import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.core.identity.Pool
 import toucanrelay.core.identity.RequestId
@@ -52,6 +53,7 @@
     private val queues = RequestQueues { organisation -> limitsOf(bundles, organisation) }
     private val tickets = HashMap<RequestId, Ticket>()
     private val views = LinkedHashMap<AgentLink, TargetView>()
+    private var leaving: Set<InstanceId> = emptySet()
 
     val totalWaiting: Int
         get() = lock.withLock { queues.totalWaiting }
@@ -134,7 +136,12 @@
     override fun onLinkRemoved(link: AgentLink) =
         lock.withLock {
             views.remove(link)
-            Unit
+            link.demandChanged()
+        }
+
+    override fun onLeaving(instances: Set<InstanceId>) =
+        lock.withLock {
+            leaving = instances
         }
 
     override fun onConnected(link: AgentLink, session: AgentSession) =
@@ -161,10 +168,9 @@
     override fun onGrant(link: AgentLink, grant: Grant) =
         lock.withLock {
             link.demandGranted()
-            val view = views[link]
-            val session = view?.session ?: return
-            val request = view.takeIf { it.isUsable }?.let { requestFor(grant, it) }
-            if (request == null) decline(session, grant) else assign(request, view, grant.grantId, null)
+            val view = views[link]?.takeIf { it.isUsable && isInService(it) }
+            val request = view?.let { requestFor(grant, it) }
+            if (request == null) decline(link, grant) else assign(request, view, grant.grantId, null)
         }
 
     override fun onCacheChange(link: AgentLink, change: CacheChange) =
@@ -256,9 +262,9 @@
     fun settleRemote(request: WaitingRequest, usedBytes: Long) =
         lock.withLock { budget.settle(routing.linkBytes(request), usedBytes) }
 
-    private fun decline(session: AgentSession, grant: Grant) {
+    private fun decline(link: AgentLink, grant: Grant) {
         meters.grantsDeclined.increment()
-        session.send(
+        link.session.value?.send(
             EntryMessage
                 .newBuilder()
                 .setGrantDeclined(GrantDeclined.newBuilder().setGrantId(grant.grantId))
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/RequestRunner.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/RequestRunner.kt
@@ -95,7 +95,7 @@
         val attempt = Attempt(request, assignment, answer, charge, parts.account, parts.meters, parts.terms)
         var outcome: AttemptOutcome? = AttemptOutcome.Lost
         try {
-            outcome = attempt.run(serveRequest(assignment))
+            outcome = assignment.link.use { attempt.run(serveRequest(assignment)) }
             return outcome
         } catch (cause: CancellationException) {
             attempts.noteUnanswered()
@@ -196,16 +196,21 @@
     }
 
     private fun leave() {
-        val waitingTicket = ticket
-        if (waitingTicket != null && !parts.dispatcher.withdraw(waitingTicket)) {
-            isInFlight = isInFlight || waitingTicket.isAssigned
-            if (waitingTicket.isAssigned) parts.account.charge(organisation, -waiting.cost)
-        }
+        val left = ticket
         ticket = null
+        if (left != null && !parts.dispatcher.withdraw(left)) left.assignment?.let { abandon(it) }
         if (isInFlight) parts.dispatcher.finish(organisation)
         isInFlight = false
     }
 
+    /** Gives back what a request was assigned that ended before it was sent. */
+    private fun abandon(assignment: Assignment) {
+        isInFlight = true
+        parts.account.charge(organisation, -waiting.cost)
+        if (assignment.isRemote) parts.dispatcher.settleRemote(waiting, usedBytes = 0)
+        parts.dispatcher.ended(assignment)
+    }
+
     private fun weights() =
         parts.context.bundles.current.value
             ?.weights ?: ServiceWeights()
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Ticket.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Ticket.kt
@@ -1,6 +1,7 @@
 package toucanrelay.daemon.entry.dispatch
 
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import toucanrelay.core.queue.WaitingRequest
@@ -30,8 +31,8 @@
     /** Completed with a target, or with the reason for which the request is given up. */
     val decision = CompletableDeferred<Result<Assignment, RefusalReason>>()
 
-    /** Whether the request was bound to a target. */
+    /** The target that the request was bound to; null when it was not. */
     @OptIn(ExperimentalCoroutinesApi::class)
-    val isAssigned: Boolean
-        get() = decision.isCompleted && decision.getCompleted().isOk
+    val assignment: Assignment?
+        get() = if (decision.isCompleted) decision.getCompleted().get() else null
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/CallerAnswer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/CallerAnswer.kt
@@ -85,7 +85,8 @@
         val problem = Problem.of(refusal, id)
         when {
             !isStarted -> writeProblem(problem, refusal)
-            tail != null -> response.end("event: error\ndata: ${problem.toJson()}\n\n")
+            tail?.hasSplitEvent == true -> response.end("\n\n" + errorEvent(problem))
+            tail != null -> response.end(errorEvent(problem))
             else -> request.connection().close()
         }
     }
@@ -99,6 +100,8 @@
         response.end(Buffer.buffer(answer.body))
     }
 
+    private fun errorEvent(problem: Problem) = "event: error\ndata: ${problem.toJson()}\n\n"
+
     private fun writeProblem(problem: Problem, refusal: Refusal) {
         response.setStatusCode(problem.status)
         response.putHeader("Content-Type", Problem.MEDIA_TYPE)
@@ -161,6 +164,6 @@
 
     private companion object {
         const val REQUEST_ID = "X-Request-Id"
-        const val MAXIMUM_HELD_BYTES = 1_048_576
+        const val MAXIMUM_HELD_BYTES = 262_144
     }
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLink.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLink.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.consumeAsFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
@@ -43,6 +44,7 @@
     private val listener: LinkListener,
 ) {
     private val current = MutableStateFlow<AgentSession?>(null)
+    private val attempts = MutableStateFlow(0)
     private val demand = DemandSender(terms, context.clock, meters)
 
     /** The connection in use; null while there is none. */
@@ -62,6 +64,21 @@
         return next?.takeIf { it.agent == agent }
     }
 
+    /** Runs [attempt] and keeps the link up until it has ended. */
+    suspend fun <T> use(attempt: suspend () -> T): T {
+        attempts.update { it + 1 }
+        try {
+            return attempt()
+        } finally {
+            attempts.update { it - 1 }
+        }
+    }
+
+    /** Waits until no attempt uses the link. */
+    suspend fun awaitIdle() {
+        attempts.first { it == 0 }
+    }
+
     /** Keeps the link up until cancelled; [demandSource] builds the demand to state. */
     suspend fun run(demandSource: DemandSource) {
         var failures = 0
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLinks.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLinks.kt
@@ -8,17 +8,25 @@
 import toucanrelay.daemon.entry.EntryTerms
 import toucanrelay.daemon.shell.DaemonContext
 import toucanrelay.platform.instances.InstanceRecord
+import toucanrelay.platform.instances.InstanceState
 
 /** Is told which agents the entry links to. */
 internal interface LinkMembership {
     /** The entry begins to link to an agent. */
     fun onLinkAdded(link: AgentLink)
 
-    /** The entry no longer links to an agent. */
+    /** The entry gives the link up: no new work goes over it. */
     fun onLinkRemoved(link: AgentLink)
+
+    /** These instances are going to stop: no new work goes to them. */
+    fun onLeaving(instances: Set<InstanceId>)
 }
 
-/** Keeps a link to each agent that the directory assigns to this entry. */
+/**
+ * Keeps a link to each agent that the directory assigns to this entry.
+ *
+ * A link that is no longer assigned stays up until the requests that run over it have ended.
+ */
 internal class AgentLinks(
     private val context: DaemonContext,
     private val terms: EntryTerms,
@@ -41,11 +49,15 @@
         owner: T,
     ) where T : LinkListener, T : LinkMembership, T : DemandSource {
         val wanted = records.associateBy { it.instance }
+        owner.onLeaving(records.filter { it.state == InstanceState.LEAVING }.mapTo(HashSet()) { it.instance })
         val gone = links.values.filter { !it.serves(wanted[it.link.record.instance]) }
         gone.forEach { running ->
             links.remove(running.link.record.instance)
             owner.onLinkRemoved(running.link)
-            running.job.cancel()
+            scope.launch {
+                running.link.awaitIdle()
+                running.job.cancel()
+            }
         }
         wanted.filterKeys { it !in links }.forEach { (instance, record) ->
             val link = AgentLink(record, context, terms, meters, channels, owner)
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryRoleTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryRoleTest.kt
@@ -9,8 +9,10 @@
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldNotContain
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.future.await
+import toucanrelay.platform.instances.InstanceState
 import kotlin.time.Duration.Companion.seconds
 
 private const val EVENTS = "id: 1\ndata: {}\n\nid: 2\ndata: {}\n\n"
@@ -218,6 +220,56 @@
             }
         }
 
+        describe("an agent that the directory takes from the entry") {
+            it("gets no new work, and what runs there ends whole") {
+                val goOn = CompletableDeferred<Unit>()
+                val first =
+                    FakeAgent("t1") {
+                        admitted()
+                        head("text/event-stream")
+                        chunk(0, EVENTS)
+                        goOn.await()
+                        chunk(EVENTS.length.toLong(), DONE)
+                        end((EVENTS + DONE).length.toLong())
+                    }
+                val second = FakeAgent("t2")
+                TestFleet(bundleOf(mapOf("t1" to advice, "t2" to advice))).use { fleet ->
+                    fleet.link(first.record)
+                    fleet.withEntry { entry ->
+                        val running =
+                            entry.calls.send("POST", "/v1/chat/completions", chatBody(true, 5), KEY_OF_MILL, emptyMap())
+                        eventually(10.seconds) { first.served shouldHaveSize 1 }
+                        fleet.link(second.record)
+                        eventually(10.seconds) { entry.calls.chat().body() shouldBe "hello" }
+                        goOn.complete(Unit)
+
+                        running.await().body() shouldBe EVENTS + DONE
+                        first.served shouldHaveSize 1
+                        first.resumed.shouldBeEmpty()
+                    }
+                }
+                listOf(first, second).forEach { it.close() }
+            }
+
+            it("gets no new work when it is marked as leaving") {
+                val leaving = FakeAgent("t1")
+                val staying = FakeAgent("t2")
+                TestFleet(bundleOf(mapOf("t1" to advice, "t2" to advice))).use { fleet ->
+                    fleet.link(leaving.record, staying.record)
+                    fleet.withEntry { entry ->
+                        eventually(10.seconds) { entry.calls.chat().statusCode() shouldBe 200 }
+                        fleet.link(leaving.record.copy(state = InstanceState.LEAVING), staying.record)
+                        eventually(10.seconds) {
+                            val before = leaving.served.size
+                            repeat(8) { entry.calls.chat().body() shouldBe "hello" }
+                            leaving.served shouldHaveSize before
+                        }
+                    }
+                }
+                listOf(leaving, staying).forEach { it.close() }
+            }
+        }
+
         describe("an unstreamed answer that fails") {
             it("is a problem document when nothing of it was given") {
                 val agent =
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/FakeAgent.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/FakeAgent.kt
@@ -44,8 +44,8 @@
     private val target: String,
     private val pool: Pool = advice,
     var free: Int = 4,
-    val serve: Serve = { whole("hello") },
     val resume: Resume = { failed("ANSWER_LOST") },
+    val serve: Serve = { whole("hello") },
 ) : AutoCloseable {
     val served = ConcurrentLinkedQueue<ServeRequest>()
     val resumed = ConcurrentLinkedQueue<ResumeRequest>()
