--- a/core/src/main/kotlin/toucanrelay/core/admission/AdmissionLimit.kt
+++ b/core/src/main/kotlin/toucanrelay/core/admission/AdmissionLimit.kt
@@ -24,6 +24,10 @@
     public var current: Int = terms.coldSlots
         private set
 
+    /** Counts the times that the target was taken for cold; a request that started in an earlier one proves nothing. */
+    public var era: Int = 0
+        private set
+
     private val latency = LatencyBaseline()
     private var round = LatencyRound()
     private var previous: RoundResult? = null
@@ -46,8 +50,10 @@
      *
      * @param millisecondsPerUnit how long it took for each service unit.
      * @param inFlight requests that ran when it ended, itself included.
+     * @param startedIn the [era] in which it started.
      */
-    public fun completed(millisecondsPerUnit: Double, inFlight: Int) {
+    public fun completed(millisecondsPerUnit: Double, inFlight: Int, startedIn: Int) {
+        if (startedIn != era) return
         if (latency.add(millisecondsPerUnit)) {
             cut()
             return
@@ -68,6 +74,7 @@
 
     /** Notes that the target was out of service and is cold again; that says nothing about what it bears when warm. */
     public fun restart() {
+        era += 1
         current = terms.coldSlots
         previous = null
         round = LatencyRound()
--- a/core/src/test/kotlin/toucanrelay/core/admission/AdmissionLimitTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/admission/AdmissionLimitTest.kt
@@ -18,7 +18,7 @@
 private const val COMPLETIONS_TO_ALL_SLOTS = 78
 
 private fun AdmissionLimit.completeInFullUse(times: Int, millisecondsPerUnit: Double = STEADY_MILLISECONDS_PER_UNIT) =
-    repeat(times) { completed(millisecondsPerUnit, inFlight = current) }
+    repeat(times) { completed(millisecondsPerUnit, inFlight = current, startedIn = era) }
 
 @OptIn(ExperimentalKotest::class)
 class AdmissionLimitTest :
@@ -42,7 +42,7 @@
             it("does not rise on completions while it was not in use") {
                 val limit = AdmissionLimit(AdmissionTerms(slots = 16, coldSlots = 4))
 
-                repeat(1_000) { limit.completed(STEADY_MILLISECONDS_PER_UNIT, inFlight = 1) }
+                repeat(1_000) { limit.completed(STEADY_MILLISECONDS_PER_UNIT, inFlight = 1, startedIn = limit.era) }
 
                 limit.current shouldBe 4
             }
@@ -81,6 +81,16 @@
                 limit.current shouldBe 2
             }
 
+            it("takes no request for evidence that started before the target was cut") {
+                val limit = AdmissionLimit(terms)
+                val earlier = limit.era
+                limit.cut()
+
+                repeat(1_000) { limit.completed(STEADY_MILLISECONDS_PER_UNIT, inFlight = 2, startedIn = earlier) }
+
+                limit.current shouldBe 2
+            }
+
             it("asks for more evidence where it was cut before") {
                 val first = AdmissionLimit(terms).also { it.completeInFullUse(times = 1_000) }
                 first.cut()
@@ -99,7 +109,7 @@
                             limit.current shouldBe terms.coldSlots
                         } else {
                             val before = limit.current
-                            limit.completed(milliseconds, inFlight = kind)
+                            limit.completed(milliseconds, inFlight = kind, startedIn = limit.era)
                             (limit.current <= before + maxOf(1, before / 4)) shouldBe true
                         }
                         limit.current shouldBeInRange terms.coldSlots..terms.slots
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -39,9 +39,13 @@
 ) {
     private val begun = CompletableDeferred<Arrival<ResponseBody>>()
 
+    @Volatile
+    private var body: ResponseBody? = null
+
     init {
         response.map { ResponseBody(request, it) }.onComplete { result ->
             val body = result.result()
+            this.body = body
             begun.complete(if (body == null) Arrival.Broken(result.cause().toString()) else Arrival.Piece(body))
         }
     }
@@ -54,9 +58,9 @@
             onTimeout(silenceMilliseconds) { Arrival.Silence }
         }
 
-    /** Drops the connection. */
+    /** Drops the connection unless the response has ended. */
     fun drop() {
-        request.reset()
+        body?.drop() ?: request.reset()
     }
 }
 
@@ -67,10 +71,16 @@
 ) {
     private val pieces = Channel<Buffer>(Channel.UNLIMITED)
 
+    @Volatile
+    private var hasEnded = false
+
     init {
         response.pause()
         response.handler { pieces.trySend(it) }
-        response.endHandler { pieces.close() }
+        response.endHandler {
+            hasEnded = true
+            pieces.close()
+        }
         response.exceptionHandler { pieces.close(it) }
     }
 
@@ -100,9 +110,9 @@
         }
     }
 
-    /** Drops the connection. */
+    /** Drops the connection unless the response has ended. */
     fun drop() {
-        request.reset()
+        if (!hasEnded) request.reset()
     }
 
     private fun arrivalOf(result: ChannelResult<Buffer>): Arrival<Buffer> {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/AgentTables.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/AgentTables.kt
@@ -19,6 +19,17 @@
 import toucanrelay.core.time.Clock
 import toucanrelay.daemon.agent.target.TargetOutcome
 
+/**
+ * When a request ran on the target.
+ *
+ * @property milliseconds how long it ran.
+ * @property era era of the admission limit in which it started.
+ */
+internal data class RunSample(
+    val milliseconds: Long,
+    val era: Int,
+)
+
 /**
  * The agent's decisions about its slots, put together; guarded by the lock of [WorkDesk].
  *
@@ -62,25 +73,25 @@
         return grants
     }
 
-    /** Slots that entries may fill without a grant: none while requests wait. */
+    /** Slots that entries may fill without a grant: none while requests wait or nothing is loaded. */
     fun freeSlots(pools: Set<Pool>): Int =
-        if (scheduler.hasDemand(pools)) 0 else (slots.spare - scheduler.outstanding).coerceAtLeast(0)
+        if (pools.isEmpty() || scheduler.hasDemand(pools)) 0 else (slots.spare - scheduler.outstanding).coerceAtLeast(0)
 
-    /** Draws from the [outcome] of a request that took [milliseconds] what the target bears. */
-    fun learn(outcome: TargetOutcome, milliseconds: Long, weights: ServiceWeights) {
+    /** Draws from the [outcome] of the request that [sample] describes what the target bears. */
+    fun learn(outcome: TargetOutcome, sample: RunSample, weights: ServiceWeights) {
         when (outcome) {
-            is TargetOutcome.Whole -> learn(outcome, milliseconds, weights)
+            is TargetOutcome.Whole -> learn(outcome, sample, weights)
             is TargetOutcome.NotRun -> if (outcome.reason in FAILURES_OF_THE_TARGET) limit.cut()
             is TargetOutcome.Lost -> if (outcome.reason in FAILURES_OF_THE_TARGET) limit.cut()
         }
     }
 
-    private fun learn(outcome: TargetOutcome.Whole, milliseconds: Long, weights: ServiceWeights) {
+    private fun learn(outcome: TargetOutcome.Whole, sample: RunSample, weights: ServiceWeights) {
         if (outcome.status == OVERLOADED) limit.cut()
         if (outcome.status >= FIRST_ERROR) return
         val usage = outcome.usage
         val units = usage.promptTokens * weights.promptToken + usage.generatedTokens * weights.generatedToken
-        limit.completed(milliseconds / units.coerceAtLeast(1.0), slots.running)
+        limit.completed(sample.milliseconds / units.coerceAtLeast(1.0), slots.running, sample.era)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/Run.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/Run.kt
@@ -25,6 +25,10 @@
     @Volatile
     var startedAtMilliseconds: Long? = null
 
+    /** Era of the admission limit in which it was sent. */
+    @Volatile
+    var startedInEra: Int = 0
+
     /** When its slot came free again. */
     @Volatile
     var endedAtMilliseconds: Long? = null
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/WorkDesk.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/WorkDesk.kt
@@ -281,6 +281,7 @@
     @OptIn(DelicateCoroutinesApi::class)
     private fun start(run: Run) {
         run.startedAtMilliseconds = now()
+        run.startedInEra = tables.limit.era
         run.job = context.scope.launch(start = CoroutineStart.ATOMIC) { carryOut(run) }
     }
 
@@ -332,7 +333,7 @@
         val startedAt = run.startedAtMilliseconds ?: return
         tables.learn(
             outcome,
-            now() - startedAt,
+            RunSample(now() - startedAt, run.startedInEra),
             context.bundles.current.value
                 ?.weights ?: ServiceWeights(),
         )
