--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -41,9 +41,13 @@
 ) {
     private val begun = CompletableDeferred<Arrival<ResponseBody>>()
 
+    @Volatile
+    private var body: ResponseBody? = null
+
     init {
         request.response().map { ResponseBody(request, it) }.onComplete { result ->
             val body = result.result()
+            this.body = body
             begun.complete(if (body == null) Arrival.Broken(result.cause().toString()) else Arrival.Piece(body))
         }
         if (content == null) request.send() else request.send(content)
@@ -57,9 +61,9 @@
             onTimeout(silenceMilliseconds) { Arrival.Silence }
         }
 
-    /** Drops the connection. */
+    /** Drops the connection unless the response has ended. */
     fun drop() {
-        request.reset()
+        body?.drop() ?: request.reset()
     }
 }
 
@@ -70,10 +74,16 @@
 ) {
     private val pieces = Channel<Buffer>(Channel.UNLIMITED)
 
+    @Volatile
+    private var hasEnded = false
+
     init {
         response.pause()
         response.handler { pieces.trySend(it) }
-        response.endHandler { pieces.close() }
+        response.endHandler {
+            hasEnded = true
+            pieces.close()
+        }
         response.exceptionHandler { pieces.close(it) }
     }
 
@@ -103,9 +113,9 @@
         }
     }
 
-    /** Drops the connection. */
+    /** Drops the connection unless the response has ended. */
     fun drop() {
-        request.reset()
+        if (!hasEnded) request.reset()
     }
 
     private fun arrivalOf(result: ChannelResult<Buffer>): Arrival<Buffer> {
