--- a/daemon/src/test/kotlin/toucanrelay/daemon/fleet/FleetFixture.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/FleetFixture.kt
@@ -98,6 +98,16 @@
         return link
     }
 
+    /** Starts the entry anew: a later run with nothing but its name, at another port. */
+    suspend fun restart(entry: RunningEntry, isTableDown: Boolean = false): RunningEntry {
+        entry.stop()
+        started -= entry
+        return startEntry(entry.name, entry.region, isApart = true).also {
+            it.platform.isTableDown = isTableDown
+            it.platform.isDown = false
+        }
+    }
+
     suspend fun stop() {
         started.forEach { it.stop() }
         links.values.forEach { it.stop() }
@@ -106,7 +116,7 @@
 
 /** One entry's part in the fleet with its link port. */
 class RunningEntry(
-    private val name: String,
+    val name: String,
     val region: String,
     clock: Clock,
     val platform: SwitchablePlatform,
--- a/daemon/src/test/kotlin/toucanrelay/daemon/fleet/FleetNodeTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/FleetNodeTest.kt
@@ -7,8 +7,11 @@
 import io.kotest.matchers.shouldBe
 import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.OrganisationId
-import toucanrelay.core.time.ManualClock
+import toucanrelay.core.time.Clock
+import toucanrelay.core.time.MonotonicClock
 import toucanrelay.platform.instances.InstanceState
+import toucanrelay.standins.CuttableLink
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.seconds
 
 class FleetNodeTest :
@@ -21,6 +24,8 @@
         beforeTest { if (it.type.name == "Test") fleet = FleetFixture() }
         afterTest { (case, _) -> if (case.type.name == "Test") fleet.stop() }
 
+        fun RunningEntry.links() = meters.get("toucanrelay.fleet.exchange.links").gauge().value()
+
         fun RunningEntry.version() =
             node.bundles
                 .inForce()
@@ -52,6 +57,100 @@
             }
         }
 
+        describe("a process that starts empty while the table service is down") {
+            it("takes the bundle and the totals that its neighbours hold") {
+                fleet.rollOut(3)
+                val entries = listOf("entry-a", "entry-b", "entry-c").map { fleet.startEntry(it) }
+                eventually(limit) { entries.forEach { it.version() shouldBe 3 } }
+                entries
+                    .last()
+                    .node.ledger
+                    .charge(depot, 400.0)
+                eventually(limit) { entries.forEach { it.node.ledger.virtualTime(depot) shouldBe 100.0 } }
+                entries.forEach { it.platform.isTableDown = true }
+
+                val restarted = fleet.restart(entries.last(), isTableDown = true)
+
+                eventually(limit) { restarted.version() shouldBe 3 }
+                restarted.node.ledger.virtualTime(depot) shouldBe 100.0
+            }
+        }
+
+        describe("a process that was paused") {
+            it("has no bundle in force until a neighbour confirms one, and then the latest") {
+                val clock = SkippingClock()
+                fleet.rollOut(3)
+                val reader = fleet.startEntry("entry-a")
+                val paused = fleet.startEntry("entry-b", clock = clock)
+                eventually(limit) { paused.version() shouldBe 3 }
+                paused.platform.isTableDown = true
+                fleet.rollOut(4)
+                eventually(limit) { reader.version() shouldBe 4 }
+
+                clock.skip(60_000)
+
+                paused.version() shouldBe null
+                eventually(limit) { paused.version() shouldBe 4 }
+            }
+        }
+
+        describe("an instance on the leaving list") {
+            it("is known to leave at entries that cannot read the list themselves") {
+                fleet.rollOut(1)
+                fleet.listAgent("agent-1", target = "model-1")
+                val entries = listOf("entry-a", "entry-b").map { fleet.startEntry(it) }
+                eventually(limit) {
+                    entries.forEach {
+                        it.node.directory.linkedAgents.value
+                            .map { agent -> agent.instance } shouldContainExactly
+                            listOf(InstanceId("agent-1"))
+                    }
+                    entries.forEach { it.node.directory.instances.value.size shouldBe 3 }
+                }
+                entries.last().platform.isDown = true
+
+                fleet.listAgent("agent-1", target = "model-1", state = InstanceState.LEAVING)
+
+                eventually(limit) {
+                    entries.forEach {
+                        it.node.directory.linkedAgents.value
+                            .single()
+                            .state shouldBe InstanceState.LEAVING
+                    }
+                }
+            }
+        }
+
+        describe("regions that were apart") {
+            data class Cut(
+                val what: String,
+                val apply: suspend (CuttableLink) -> Unit,
+            )
+
+            listOf(
+                Cut("connections that are refused") { it.cut() },
+                Cut("connections that go silent") { it.silenceAll() },
+            ).forEach { cut ->
+                it("agree again on service after ${cut.what}") {
+                    fleet.rollOut(1)
+                    val east = fleet.startEntry("entry-east", region = "east", isApart = true)
+                    val west = fleet.startEntry("entry-west", region = "west", isApart = true)
+                    val links = listOf(fleet.linkRegions("east", to = west), fleet.linkRegions("west", to = east))
+                    val both = listOf(east, west)
+                    both.forEach { it.platform.isDown = false }
+                    eventually(limit) { both.forEach { it.links() shouldBe 1.0 } }
+                    links.forEach { cut.apply(it) }
+                    eventually(limit) { both.forEach { it.links() shouldBe 0.0 } }
+                    east.node.ledger.charge(van, 50.0)
+                    west.node.ledger.charge(van, 30.0)
+
+                    links.forEach { it.restore() }
+
+                    eventually(limit) { both.forEach { it.node.ledger.virtualTime(van) shouldBe 50.0 } }
+                }
+            }
+        }
+
         describe("service") {
             it("that was charged at one entry counts at all, divided by the share") {
                 fleet.rollOut(1)
@@ -71,3 +170,14 @@
             }
         }
     })
+
+/** A clock that can skip time, as a process sees it that was paused. */
+private class SkippingClock : Clock {
+    private val skipped = AtomicLong()
+
+    override fun nowMilliseconds(): Long = MonotonicClock.nowMilliseconds() + skipped.get()
+
+    fun skip(milliseconds: Long) {
+        skipped.addAndGet(milliseconds)
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/HeldBundlesTest.kt
@@ -0,0 +1,116 @@
+package toucanrelay.daemon.fleet
+
+import com.google.protobuf.ByteString
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import toucanrelay.core.bundle.BundleVersion
+import toucanrelay.core.time.ManualClock
+import toucanrelay.platform.bundle.BundleSigner
+import toucanrelay.platform.bundle.BundleVerifier
+import toucanrelay.platform.bundle.OperatorKeyPair
+import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.wire.BundleWanted
+import toucanrelay.wire.Heartbeat
+
+class HeldBundlesTest :
+    DescribeSpec({
+        val keys = OperatorKeyPair.generate("operator")
+        val clock = ManualClock()
+
+        fun sign(version: Long, share: Double = 4.0, by: OperatorKeyPair = keys): SignedBundle =
+            BundleSigner(by.privateKey).sign(sampleDocument(depotShare = share), BundleVersion(version))
+
+        fun process() =
+            HeldBundles(clock, BundleVerifier(listOf(keys.publicKey)), SimpleMeterRegistry()).also { it.release() }
+
+        fun heartbeatOf(version: Long, ago: Long): Heartbeat =
+            Heartbeat
+                .newBuilder()
+                .setBundleVersion(version)
+                .setBundleConfirmedAgoMilliseconds(ago)
+                .build()
+
+        fun wanted(held: Long): BundleWanted = BundleWanted.newBuilder().setHeldVersion(held).build()
+
+        describe("a process that holds nothing") {
+            it("asks for the version of a heartbeat, and one of several peers only") {
+                val process = process()
+
+                process.wanted(heartbeatOf(3, ago = 10))?.heldVersion shouldBe 0
+                process.wanted(heartbeatOf(3, ago = 10)) shouldBe null
+                process.wanted(heartbeatOf(4, ago = 10))?.heldVersion shouldBe 0
+            }
+
+            it("asks again when no answer came") {
+                val process = process()
+                process.wanted(heartbeatOf(3, ago = 10))
+                clock.advance(1_000)
+
+                process.wanted(heartbeatOf(3, ago = 10))?.heldVersion shouldBe 0
+            }
+
+            it("puts what a confirmed peer sends in force, and nothing that only an unconfirmed one has") {
+                val peer = process().also { it.takeFromTable(sign(3)) }
+                val unconfirmed = process()
+                val confirmed = process()
+                unconfirmed.wanted(heartbeatOf(3, ago = -1))
+                confirmed.wanted(peer.heartbeat(1, 0))
+
+                unconfirmed.accept(peer.update(wanted(0))!!)
+                confirmed.accept(peer.update(wanted(0))!!)
+
+                unconfirmed.inForce() shouldBe null
+                unconfirmed.heartbeat(1, 0).bundleConfirmedAgoMilliseconds shouldBe -1
+                confirmed.inForce()?.version shouldBe BundleVersion(3)
+            }
+        }
+
+        describe("a process that holds a version") {
+            fun holding(version: Long) = process().also { it.takeFromTable(sign(version)) }
+
+            it("sends a later one as a patch, smaller than the whole") {
+                val peer = holding(3).also { it.takeFromTable(sign(4, share = 5.0)) }
+                val process = holding(3)
+
+                val patch = peer.update(wanted(3))!!
+                process.accept(patch)
+
+                patch.baseVersion shouldBe 3
+                patch.document.size() shouldBeLessThan peer.update(wanted(0))!!.document.size()
+                process.inForce()?.version shouldBe BundleVersion(4)
+            }
+
+            it("refuses what no known operator signed, and what was changed on the way") {
+                val process = holding(3)
+                val stranger = OperatorKeyPair.generate("stranger")
+                val peer = holding(3).also { it.takeFromTable(sign(5)) }
+                val update = peer.update(wanted(0))!!
+
+                process.takeFromTable(sign(4, by = stranger))
+                process.accept(update.toBuilder().setVersion(6).build())
+                process.accept(update.toBuilder().setDocument(ByteString.copyFromUtf8("no gzip")).build())
+                process.accept(update.toBuilder().setBaseVersion(2).build())
+
+                process.inForce()?.version shouldBe BundleVersion(3)
+            }
+
+            it("never goes back to a lower version") {
+                val process = holding(5)
+
+                process.takeFromTable(sign(4))
+                process.accept(holding(4).update(wanted(0))!!)
+
+                process.inForce()?.version shouldBe BundleVersion(5)
+            }
+
+            it("takes a higher one from an operator directly") {
+                val process = holding(3)
+
+                process.takeFromOperator(sign(4))
+
+                process.inForce()?.version shouldBe BundleVersion(4)
+            }
+        }
+    })
--- a/daemon/src/test/kotlin/toucanrelay/daemon/fleet/SwitchablePlatform.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/SwitchablePlatform.kt
@@ -27,11 +27,16 @@
     private val addressOf: (InstanceRecord) -> InstanceRecord = { it },
 ) : TableService,
     InstanceList {
+    /** Whether neither table service nor list answers. */
     @Volatile
     var isDown = false
 
+    /** Whether the table service alone does not answer. */
+    @Volatile
+    var isTableDown = false
+
     override suspend fun read(key: RowKey): Result<Row?, PlatformError> =
-        if (isDown) Err(PlatformError.NotTaken("down")) else Ok(content.rows[key])
+        if (isDown || isTableDown) Err(PlatformError.NotTaken("down")) else Ok(content.rows[key])
 
     override suspend fun write(
         key: RowKey,
