--- a/core/src/main/kotlin/toucanrelay/core/exchange/ExchangePace.kt
+++ b/core/src/main/kotlin/toucanrelay/core/exchange/ExchangePace.kt
@@ -10,7 +10,7 @@
 public data class ExchangePace(
     public val budgetBytesPerSecond: Long = 2_000,
     public val shortestMilliseconds: Long = 250,
-    public val longestMilliseconds: Long = 2_000,
+    public val longestMilliseconds: Long = 2_500,
 ) {
     /** The time until the next round after one that took [bytes] on all links together. */
     public fun nextMilliseconds(bytes: Long): Long =
--- a/core/src/main/kotlin/toucanrelay/core/linking/LinkEnds.kt
+++ b/core/src/main/kotlin/toucanrelay/core/linking/LinkEnds.kt
@@ -16,41 +16,64 @@
     public val pools: PersistentSet<Pool>,
 )
 
-/** One end of possible links, with its hash at hand. */
+/**
+ * How near the ends of a link are.
+ *
+ * @property weight how much likelier such a link is than one to another region.
+ */
+internal enum class Nearness(
+    val weight: Double,
+) {
+    SAME_FAILURE_DOMAIN(64.0),
+    SAME_REGION(16.0),
+    OTHER_REGION(1.0),
+}
+
+/** One end of possible links, with its hash and small numbers for its place at hand. */
 internal class LinkEnd(
     val instance: InstanceId,
-    private val region: RegionId,
-    private val failureDomain: FailureDomainId,
+    private val region: Int,
+    private val failureDomain: Int,
 ) {
     private val hash = StableHash.of(instance.value)
 
-    constructor(entry: EntryPlace) : this(entry.instance, entry.region, entry.failureDomain)
-
-    constructor(agent: LinkableAgent) : this(agent.instance, agent.region, agent.failureDomain)
-
-    /**
-     * Cost of the link from this entry to [agent]; the least are taken.
-     *
-     * Weighted rendezvous hashing (Schindelhauer and Schomaker, "Weighted distributed hash tables", 2005): each pair draws
-     * an exponentially distributed number whose rate is the weight of the nearness, so that a change at one end leaves
-     * all other pairs as they are.
-     */
-    fun costTo(agent: LinkEnd): Double =
-        -Math.log(StableHash.toUnit(StableHash.combine(hash, agent.hash))) / weight(agent)
-
-    private fun weight(other: LinkEnd): Double =
+    /** How near [other] is. */
+    fun nearnessTo(other: LinkEnd): Nearness =
         when {
-            failureDomain == other.failureDomain && region == other.region -> SAME_FAILURE_DOMAIN_WEIGHT
-            region == other.region -> SAME_REGION_WEIGHT
-            else -> OTHER_REGION_WEIGHT
+            failureDomain == other.failureDomain -> Nearness.SAME_FAILURE_DOMAIN
+            region == other.region -> Nearness.SAME_REGION
+            else -> Nearness.OTHER_REGION
         }
 
-    /** Orders ends the same way in every process, unrelated to their names. */
-    companion object {
-        private const val SAME_FAILURE_DOMAIN_WEIGHT = 64.0
-        private const val SAME_REGION_WEIGHT = 16.0
-        private const val OTHER_REGION_WEIGHT = 1.0
+    /** A number between zero and one for the link from this entry to [agent], the same in every process. */
+    fun drawFor(agent: LinkEnd): Double = StableHash.toUnit(StableHash.combine(hash, agent.hash))
 
+    companion object {
+        /** Orders ends the same way in every process, unrelated to their names. */
         val RANK: Comparator<LinkEnd> = compareBy<LinkEnd> { it.hash }.thenBy { it.instance }
     }
 }
+
+/** Numbers regions and failure domains, so that ends are compared quickly. */
+internal class PlaceNumbers {
+    private val regions = HashMap<RegionId, Int>()
+    private val failureDomains = HashMap<RegionalDomain, Int>()
+
+    private data class RegionalDomain(
+        val region: RegionId,
+        val failureDomain: FailureDomainId,
+    )
+
+    /** The end at [entry]. */
+    fun endOf(entry: EntryPlace): LinkEnd = end(entry.instance, entry.region, entry.failureDomain)
+
+    /** The end at [agent]. */
+    fun endOf(agent: LinkableAgent): LinkEnd = end(agent.instance, agent.region, agent.failureDomain)
+
+    private fun end(instance: InstanceId, region: RegionId, failureDomain: FailureDomainId) =
+        LinkEnd(
+            instance,
+            regions.getOrPut(region) { regions.size },
+            failureDomains.getOrPut(RegionalDomain(region, failureDomain)) { failureDomains.size },
+        )
+}
--- a/core/src/main/kotlin/toucanrelay/core/linking/LinkPlan.kt
+++ b/core/src/main/kotlin/toucanrelay/core/linking/LinkPlan.kt
@@ -1,8 +1,8 @@
 package toucanrelay.core.linking
 
+import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.PersistentSet
-import kotlinx.collections.immutable.persistentSetOf
+import kotlinx.collections.immutable.persistentListOf
 import toucanrelay.core.identity.InstanceId
 
 /**
@@ -11,10 +11,10 @@
  * @property agentsByEntry the agents of each entry.
  */
 public data class LinkPlan(
-    public val agentsByEntry: PersistentMap<InstanceId, PersistentSet<InstanceId>>,
+    public val agentsByEntry: PersistentMap<InstanceId, PersistentList<InstanceId>>,
 ) {
     /** The agents to which [entry] links. */
-    public fun agentsOf(entry: InstanceId): PersistentSet<InstanceId> = agentsByEntry[entry] ?: persistentSetOf()
+    public fun agentsOf(entry: InstanceId): PersistentList<InstanceId> = agentsByEntry[entry] ?: persistentListOf()
 
     /** The number of links of all entries. */
     public val size: Int
--- a/core/src/main/kotlin/toucanrelay/core/linking/LinkPlanner.kt
+++ b/core/src/main/kotlin/toucanrelay/core/linking/LinkPlanner.kt
@@ -1,11 +1,9 @@
 package toucanrelay.core.linking
 
+import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
-import kotlinx.collections.immutable.toPersistentSet
 import toucanrelay.core.exchange.EntryPlace
-import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.Pool
-import kotlin.math.ceil
 
 /**
  * Plans links between entries and agents; every entry reaches the same plan from the same instances and bundle.
@@ -21,93 +19,66 @@
     public fun plan(entries: Collection<EntryPlace>, agents: Collection<LinkableAgent>): LinkPlan =
         Planning(terms, entries, agents).plan()
 
-    /** The number of links that the agents' draw gives to one entry, at most. */
-    public fun drawBound(entries: Int, agents: Collection<LinkableAgent>): Int = drawBound(terms, entries, agents)
-}
-
-private const val DRAW_SLACK = 1.5
-
-private fun drawBound(terms: LinkTerms, entries: Int, agents: Collection<LinkableAgent>): Int {
-    if (entries == 0) return 0
-    val sizes = poolSizes(agents)
-    return ceil(DRAW_SLACK * agents.sumOf { entriesFor(terms, it, sizes, entries) } / entries).toInt()
-}
-
-private fun poolSizes(agents: Collection<LinkableAgent>): Map<Pool, Int> =
-    agents.flatMap { it.pools }.groupingBy { it }.eachCount()
-
-private fun entriesFor(
-    terms: LinkTerms,
-    agent: LinkableAgent,
-    sizes: Map<Pool, Int>,
-    entries: Int,
-): Int {
-    val needed =
-        agent.pools.maxOfOrNull { ceil(terms.linksPerPool.toDouble() * entries / sizes.getValue(it)).toInt() } ?: 0
-    return needed.coerceIn(terms.leastEntriesPerAgent, terms.mostEntriesPerAgent).coerceAtMost(entries)
+    /** The number of links that the agents' draw gives to one entry, at most, when there are three times as many entries. */
+    public fun drawBound(entries: Int, agents: Collection<LinkableAgent>): Int =
+        LinkDemand(terms, entries, agents).bound
 }
 
 private class Planning(
     private val terms: LinkTerms,
     entryPlaces: Collection<EntryPlace>,
-    private val agents: Collection<LinkableAgent>,
+    agentPlaces: Collection<LinkableAgent>,
 ) {
-    private val entries = entryPlaces.map { LinkEnd(it) }.sortedWith(LinkEnd.RANK)
-    private val ends = agents.associate { it.instance to LinkEnd(it) }
-    private val bound = drawBound(terms, entries.size, agents)
-    private val links = entries.associate { it.instance to LinkedHashSet<InstanceId>() }
+    private class Agent(
+        val place: LinkableAgent,
+        val end: LinkEnd,
+    )
+
+    private val numbers = PlaceNumbers()
+    private val entries = entryPlaces.map { numbers.endOf(it) }.sortedWith(LinkEnd.RANK)
+    private val agents = agentPlaces.map { Agent(it, numbers.endOf(it)) }.sortedWith(compareBy(LinkEnd.RANK) { it.end })
+    private val demand = LinkDemand(terms, entries.size, agentPlaces)
+    private val links = List(entries.size) { LinkedHashSet<Agent>() }
 
     fun plan(): LinkPlan {
-        drawByAgents()
-        addForEntries()
-        return LinkPlan(links.mapValues { it.value.toPersistentSet() }.toPersistentMap())
+        agents.forEach { draw(it, demand.entriesFor(it.place)) }
+        agentsByPool().forEach { (pool, members) -> entries.indices.forEach { addFor(it, pool, members) } }
+        val planned =
+            entries.indices.associate { entry ->
+                entries[entry].instance to
+                    links[entry].map { it.place.instance }
+            }
+        return LinkPlan(planned.mapValues { it.value.toPersistentList() }.toPersistentMap())
     }
 
-    private fun drawByAgents() {
-        val sizes = poolSizes(agents)
-        agents
-            .sortedWith(compareBy(LinkEnd.RANK) { ends.getValue(it.instance) })
-            .forEach { agent -> draw(ends.getValue(agent.instance), entriesFor(terms, agent, sizes, entries.size)) }
+    private fun draw(agent: Agent, count: Int) {
+        val drawn = select(agent, count) { links[it].size < demand.bound }
+        drawn.forEach { links[it] += agent }
+        // With few entries the bound may leave too few open; the agent's least number of entries goes first.
+        select(agent, count - drawn.size) { agent !in links[it] }.forEach { links[it] += agent }
     }
 
-    private fun draw(agent: LinkEnd, count: Int) {
-        val open = entries.filter { links.getValue(it.instance).size < bound }
-        val drawn = nearest(open, count) { it.costTo(agent) }
-        val missing = count - drawn.size
-        val beyondBound =
-            if (missing >
-                0
-            ) {
-                nearest(entries - drawn.toSet(), missing) { it.costTo(agent) }
-            } else {
-                emptyList()
-            }
-        (drawn + beyondBound).forEach { links.getValue(it.instance) += agent.instance }
+    private inline fun select(agent: Agent, count: Int, isOpen: (Int) -> Boolean): IntArray {
+        if (count <= 0) return IntArray(0)
+        val selection = NearestSelection(count)
+        entries.indices.forEach { if (isOpen(it)) selection.offer(it, entries[it], agent.end) }
+        return selection.chosen
     }
 
-    private fun addForEntries() {
-        val members =
-            agents
-                .flatMap { agent ->
-                    agent.pools.map { it to ends.getValue(agent.instance) }
-                }.groupBy({ it.first }, { it.second })
-        entries.forEach { entry -> members.values.forEach { addFor(entry, it) } }
+    private fun agentsByPool(): Map<Pool, List<Agent>> {
+        val members = LinkedHashMap<Pool, MutableList<Agent>>()
+        agents.forEach { agent -> agent.place.pools.forEach { members.getOrPut(it) { mutableListOf() } += agent } }
+        return members
     }
 
-    private fun addFor(entry: LinkEnd, members: List<LinkEnd>) {
-        val linked = links.getValue(entry.instance)
-        val missing = minOf(terms.leastLinksPerPool, members.size) - members.count { it.instance in linked }
+    private fun addFor(entry: Int, pool: Pool, members: List<Agent>) {
+        val linked = links[entry]
+        val missing = minOf(terms.leastLinksPerPool, members.size) - linked.count { pool in it.place.pools }
         if (missing <= 0) return
-        linked += nearest(members.filter { it.instance !in linked }, missing) { entry.costTo(it) }.map { it.instance }
-    }
-}
-
-private fun nearest(ends: List<LinkEnd>, count: Int, cost: (LinkEnd) -> Double): List<LinkEnd> {
-    if (count >= ends.size) return ends
-    val chosen = java.util.PriorityQueue<Pair<Double, LinkEnd>>(count + 1, compareByDescending { it.first })
-    ends.forEach { end ->
-        chosen += cost(end) to end
-        if (chosen.size > count) chosen.poll()
+        val selection = NearestSelection(missing)
+        members.forEachIndexed { number, agent ->
+            if (agent !in linked) selection.offer(number, entries[entry], agent.end)
+        }
+        selection.chosen.forEach { linked += members[it] }
     }
-    return chosen.map { it.second }.sortedWith(LinkEnd.RANK)
 }
--- a/core/src/test/kotlin/toucanrelay/core/linking/LinkPlannerTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/linking/LinkPlannerTest.kt
@@ -124,8 +124,8 @@
 
                     val changed =
                         allEntries.sumOf { entry ->
-                            val old = before.agentsOf(entry.instance) - gone.instance
-                            val new = after.agentsOf(entry.instance)
+                            val old = before.agentsOf(entry.instance).toSet() - gone.instance
+                            val new = after.agentsOf(entry.instance).toSet()
                             (old - new).size + (new - old).size
                         }
                     // A tenth of all links would be a plan made anew; one agent has 1 in 240.
@@ -144,8 +144,8 @@
 
                     val changed =
                         (allEntries - gone).sumOf { entry ->
-                            val old = before.agentsOf(entry.instance)
-                            val new = after.agentsOf(entry.instance)
+                            val old = before.agentsOf(entry.instance).toSet()
+                            val new = after.agentsOf(entry.instance).toSet()
                             (old - new).size + (new - old).size
                         }
                     // The links of the entry itself move to others; beyond them a twentieth of the rest may.
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/InstanceDirectory.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/InstanceDirectory.kt
@@ -40,6 +40,9 @@
     private val failures = meters.counter("toucanrelay.fleet.list.reads", "outcome", "failed")
     private var listed: PersistentList<InstanceRecord> = persistentListOf()
     private var bundle: Bundle? = null
+    private var plannedEntries: List<EntryPlace> = emptyList()
+    private var plannedAgents: List<LinkableAgent> = emptyList()
+    private var chosenAgents: Set<InstanceId> = emptySet()
 
     init {
         meters.gauge("toucanrelay.fleet.instances", known) { it.value.size.toDouble() }
@@ -110,10 +113,20 @@
     private fun plan(records: List<InstanceRecord>): PersistentList<InstanceRecord> {
         val entries = records.filter { it.role == InstanceRole.ENTRY }.map { it.place() }
         val agents = records.mapNotNull { it.linkable() }
-        val chosen = planner.plan(entries, agents).agentsOf(own)
+        val chosen = planned(entries, agents)
         return records.filter { it.instance in chosen }.toPersistentList()
     }
 
+    // Most versions of the bundle and many lists change nothing that links depend on.
+    private fun planned(entries: List<EntryPlace>, agents: List<LinkableAgent>): Set<InstanceId> {
+        if (entries != plannedEntries || agents != plannedAgents) {
+            plannedEntries = entries
+            plannedAgents = agents
+            chosenAgents = planner.plan(entries, agents).agentsOf(own).toSet()
+        }
+        return chosenAgents
+    }
+
     private fun InstanceRecord.linkable(): LinkableAgent? {
         val terms = target?.let { bundle?.targets?.get(it) } ?: return null
         return if (role == InstanceRole.AGENT) LinkableAgent(instance, region, failureDomain, terms.pools) else null
--- /dev/null
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/ExchangeCostTest.kt
@@ -0,0 +1,51 @@
+package toucanrelay.daemon.fleet
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import toucanrelay.core.exchange.ExchangeLinkId
+import toucanrelay.core.exchange.ExchangePace
+import toucanrelay.core.exchange.ServiceExchange
+import toucanrelay.core.fairness.FleetLedger
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.time.ManualClock
+import kotlin.random.Random
+
+class ExchangeCostTest :
+    DescribeSpec({
+        val organisations = List(220) { OrganisationId("organisation-number-$it") }
+        val backlogged = organisations.take(22)
+        val pace = ExchangePace()
+
+        /** Bytes of one steady batch when every organisation is served all the time. */
+        fun steadyBatchBytes(): Long {
+            val clock = ManualClock()
+            val random = Random(1)
+            val exchange = ServiceExchange(clock, FleetLedger(clock))
+            val link = ExchangeLinkId(1)
+            val writer = BatchWriter()
+            exchange.open(link)
+            backlogged.forEach { exchange.activate(it) }
+            val sizes =
+                List(200) {
+                    organisations.forEach { exchange.charge(it, random.nextDouble(-10.0, 100.0)) }
+                    clock.advance(pace.longestMilliseconds)
+                    exchange.advance()
+                    writer.write(exchange.nextBatch(link)!!).serializedSize.toLong()
+                }
+            return sizes.takeLast(100).max()
+        }
+
+        describe("the exchange among 850 entries with 220 organisations, a tenth of them backlogged") {
+            it("takes at most two thirds of the 6 KB a second that a node has for control, sent and received") {
+                val batch = steadyBatchBytes()
+
+                // The tree's bound: one parent, and children of three levels.
+                (1L..6L).forEach { links ->
+                    val bytes = batch * links
+                    val perSecond = 2 * bytes * 1_000 / pace.nextMilliseconds(bytes)
+                    withClue("$links links, $batch bytes a batch") { perSecond shouldBeLessThanOrEqual 6_000L * 2 / 3 }
+                }
+            }
+        }
+    })
