--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
@@ -310,7 +310,8 @@
             .filter { it.isUsable && request.pool in it.pools && isInService(it) }
             .map { it.candidateFor(request, now()) }
 
-    private fun isInService(view: TargetView): Boolean = bundles.current.value?.isInService(view.target) == true
+    private fun isInService(view: TargetView): Boolean =
+        view.link.record.instance !in leaving && bundles.current.value?.isInService(view.target) == true
 
     private fun now() = clock.nowMilliseconds()
 
