--- /dev/null
+++ b/control/src/main/kotlin/toucanrelay/control/Main.kt
@@ -0,0 +1,12 @@
+@file:JvmName("Main")
+
+package toucanrelay.control
+
+import kotlinx.coroutines.runBlocking
+import kotlin.system.exitProcess
+
+/** Runs one command and exits with its code. */
+public fun main(arguments: Array<String>) {
+    val exitCode = runBlocking { Toucanctl(SystemConsole).run(arguments.toList()) }
+    exitProcess(exitCode.number)
+}
--- /dev/null
+++ b/control/src/main/kotlin/toucanrelay/control/command/FailureDomainChange.kt
@@ -0,0 +1,121 @@
+package toucanrelay.control.command
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.Option
+import toucanrelay.control.Connections
+import toucanrelay.control.ControlError
+import toucanrelay.control.KeyFile
+import toucanrelay.control.report.Report
+import toucanrelay.control.report.VersionOutcome
+import toucanrelay.control.report.VersionReport
+import toucanrelay.control.toControlError
+import toucanrelay.core.bundle.BundleVersion
+import toucanrelay.platform.bundle.BundleDocument
+import toucanrelay.platform.bundle.BundleReader
+import toucanrelay.platform.bundle.BundleSigner
+import toucanrelay.platform.bundle.BundleStore
+import toucanrelay.platform.bundle.BundleVerifier
+import toucanrelay.platform.bundle.OperatorKeyPair
+import toucanrelay.platform.bundle.OperatorPublicKey
+import toucanrelay.platform.bundle.SignedBundle
+import java.nio.file.Path
+
+/**
+ * Takes a failure domain out of service or brings it back, as the next bundle version.
+ *
+ * The version in force is verified first, so that the operator does not sign off what somebody else wrote into the
+ * table service.
+ */
+internal class FailureDomainChange(
+    private val inService: Boolean,
+) : PlatformCommand() {
+    @Argument(metaVar = "FAILURE_DOMAIN", usage = "name of the failure domain in the bundle")
+    private var failureDomain: String? = null
+
+    @Option(name = "--key", metaVar = "FILE", usage = "the operator's key file, which signs the next version")
+    private var key: String? = null
+
+    @Option(
+        name = "--operator-keys",
+        metaVar = "FILE",
+        usage = "JSON list of the other operators' public keys, like the setting operatorKeys",
+    )
+    private var operatorKeys: String? = null
+
+    override suspend fun run(connections: Connections): Result<Report, ControlError> {
+        val name = required(failureDomain, "FAILURE_DOMAIN").getOrElse { return Err(it) }
+        val keyFile = required(key, "--key FILE").getOrElse { return Err(it) }
+        val url = platformUrl().getOrElse { return Err(it) }
+        val operator = KeyFile.load(Path.of(keyFile)).getOrElse { return Err(it) }
+        val trusted = trustedKeys(operator).getOrElse { return Err(it) }
+        val store = BundleStore(connections.platform(url))
+        val standing = store.read().getOrElse { return Err(it.toControlError()) }
+        val document = verified(standing, trusted).getOrElse { return Err(it) }
+        return change(Change(name, document, operator, standing?.version ?: BundleVersion(0)), store)
+    }
+
+    private fun trustedKeys(operator: OperatorKeyPair): Result<List<OperatorPublicKey>, ControlError> {
+        val others = operatorKeys ?: return Ok(listOf(operator.publicKey))
+        return KeyFile.loadPublicKeys(Path.of(others)).map { it + operator.publicKey }
+    }
+
+    private fun verified(
+        standing: SignedBundle?,
+        trusted: List<OperatorPublicKey>,
+    ): Result<BundleDocument, ControlError> {
+        if (standing == null) return Err(ControlError.Refused("no bundle was rolled out yet"))
+        return BundleVerifier(trusted)
+            .verify(standing)
+            .andThen { BundleReader.read(standing.document) }
+            .mapError { ControlError.Refused("the bundle in force is ${it.detail}; see --operator-keys") }
+    }
+
+    private suspend fun change(change: Change, store: BundleStore): Result<Report, ControlError> {
+        val state = change.document.failureDomains[change.failureDomain]
+        if (state == null) {
+            val allowed =
+                change.document.failureDomains.keys
+                    .sorted()
+                    .joinToString()
+            return Err(ControlError.Refused("found \"${change.failureDomain}\"; allowed is one of $allowed"))
+        }
+        if (state.inService == inService) return Ok(change.unchanged())
+        val next = change.sign()
+        return store
+            .rollOut(next, change.standing)
+            .mapError { it.toControlError() }
+            .map { change.accepted(next) }
+    }
+
+    private fun stateName(): String = if (inService) "in service" else "out of service"
+
+    private inner class Change(
+        val failureDomain: String,
+        val document: BundleDocument,
+        val operator: OperatorKeyPair,
+        val standing: BundleVersion,
+    ) {
+        fun sign(): SignedBundle {
+            val changed = document.failureDomains.getValue(failureDomain).copy(inService = inService)
+            val next = document.copy(failureDomains = document.failureDomains + (failureDomain to changed))
+            return BundleSigner(operator.privateKey).sign(next, BundleVersion(standing.value + 1))
+        }
+
+        fun unchanged(): Report {
+            val detail = "$failureDomain is ${stateName()} already, by version $standing"
+            return VersionReport(standing.value, VersionOutcome.UNCHANGED, detail)
+        }
+
+        fun accepted(next: SignedBundle): Report {
+            val detail = "$failureDomain is ${stateName()} by version ${next.version}, which is accepted"
+            return VersionReport(next.version.value, VersionOutcome.ACCEPTED, detail)
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/toucanrelay/control/command/KeyGenerate.kt
@@ -0,0 +1,40 @@
+package toucanrelay.control.command
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import org.kohsuke.args4j.Option
+import toucanrelay.control.Connections
+import toucanrelay.control.ControlError
+import toucanrelay.control.KeyFile
+import toucanrelay.control.report.KeyReport
+import toucanrelay.control.report.PublicKeyEntry
+import toucanrelay.control.report.Report
+import toucanrelay.platform.bundle.OperatorKeyPair
+import java.nio.file.Path
+
+/** Makes an operator's key: the file stays with the operator, the public half goes into every daemon's settings. */
+internal class KeyGenerate : Command() {
+    @Option(name = "--id", metaVar = "ID", usage = "name of the key")
+    private var id: String? = null
+
+    @Option(name = "--key-file", metaVar = "FILE", usage = "where the key goes; must not exist")
+    private var keyFile: String? = null
+
+    override suspend fun run(connections: Connections): Result<Report, ControlError> {
+        val name = required(id, "--id ID").getOrElse { return Err(it) }
+        val target = required(keyFile, "--key-file FILE").getOrElse { return Err(it) }
+        if (!nameForm.matches(name)) return Err(ControlError.Usage("--id: allowed is $NAME_RULE"))
+        val pair = OperatorKeyPair.generate(name)
+        return KeyFile
+            .of(pair)
+            .save(Path.of(target))
+            .map { KeyReport(PublicKeyEntry(name, pair.publicKey.toBase64())) }
+    }
+
+    private companion object {
+        const val NAME_RULE = "1 to 64 letters, digits, dots, underscores and hyphens"
+        val nameForm = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/toucanrelay/control/report/BundleReports.kt
@@ -0,0 +1,123 @@
+package toucanrelay.control.report
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import toucanrelay.platform.bundle.BundleDocument
+
+/** A valid document. */
+@Serializable
+internal data class ValidityReport(
+    val valid: Boolean,
+    val organisations: Int,
+    val targets: Int,
+    val services: Int,
+    val failureDomains: Int,
+) : Report {
+    override fun toLines(): List<String> =
+        listOf(
+            "valid: $organisations organisations, $targets targets, $services services, " +
+                "$failureDomains failure domains",
+        )
+
+    override fun toJson(): JsonElement = Json.encodeToJsonElement(serializer(), this)
+
+    companion object {
+        fun of(document: BundleDocument): ValidityReport =
+            ValidityReport(
+                valid = true,
+                organisations = document.organisations.size,
+                targets = document.targets.size,
+                services = document.services.size,
+                failureDomains = document.failureDomains.size,
+            )
+    }
+}
+
+/** What became of one bundle version. */
+@Serializable
+internal data class VersionReport(
+    val version: Long,
+    val outcome: VersionOutcome,
+    val detail: String,
+) : Report {
+    override fun toLines(): List<String> = listOf(detail)
+
+    override fun toJson(): JsonElement = Json.encodeToJsonElement(serializer(), this)
+}
+
+/** What became of a bundle version, for machines. */
+@Serializable
+internal enum class VersionOutcome {
+    /** The version was signed. */
+    SIGNED,
+
+    /** The version is accepted and comes into force everywhere. */
+    ACCEPTED,
+
+    /** Nothing was to be done. */
+    UNCHANGED,
+}
+
+/** One failure domain of the bundle in force. */
+@Serializable
+internal data class FailureDomainState(
+    val failureDomain: String,
+    val region: String,
+    val inService: Boolean,
+    val targets: Int,
+)
+
+/** The bundle in force. */
+@Serializable
+internal data class BundleStatusReport(
+    val version: Long,
+    val keyId: String,
+    val organisations: Int,
+    val targets: Int,
+    val services: Int,
+    val failureDomains: List<FailureDomainState>,
+) : Report {
+    override fun toLines(): List<String> {
+        val rows =
+            failureDomains.map {
+                listOf(it.failureDomain, it.region, if (it.inService) "in service" else "out", it.targets.toString())
+            }
+        return listOf(
+            "version $version, signed with the key \"$keyId\": " +
+                "$organisations organisations, $targets targets, $services services",
+        ) + Table(listOf("FAILURE DOMAIN", "REGION", "STATE", "TARGETS"), rows).lines()
+    }
+
+    override fun toJson(): JsonElement = Json.encodeToJsonElement(serializer(), this)
+
+    companion object {
+        fun of(version: Long, keyId: String, document: BundleDocument): BundleStatusReport =
+            BundleStatusReport(
+                version = version,
+                keyId = keyId,
+                organisations = document.organisations.size,
+                targets = document.targets.size,
+                services = document.services.size,
+                failureDomains =
+                    document.failureDomains.toSortedMap().map { (name, state) ->
+                        val targets = document.targets.values.count { it.failureDomain == name }
+                        FailureDomainState(name, state.region, state.inService, targets)
+                    },
+            )
+    }
+}
+
+/** The document of the bundle in force, to be edited. */
+internal class DocumentReport(
+    private val document: JsonObject,
+) : Report {
+    override fun toLines(): List<String> = pretty.encodeToString(JsonElement.serializer(), document).lines()
+
+    override fun toJson(): JsonElement = document
+
+    private companion object {
+        val pretty = Json { prettyPrint = true }
+    }
+}
