--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/AgentTables.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/AgentTables.kt
@@ -6,6 +6,7 @@
 import toucanrelay.core.admission.Placement
 import toucanrelay.core.admission.RequestMemory
 import toucanrelay.core.admission.SlotTable
+import toucanrelay.core.bundle.ServiceWeights
 import toucanrelay.core.grant.Grant
 import toucanrelay.core.grant.GrantId
 import toucanrelay.core.grant.GrantScheduler
@@ -14,7 +15,20 @@
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.core.identity.Pool
 import toucanrelay.core.identity.RequestId
+import toucanrelay.core.refusal.RefusalReason
 import toucanrelay.core.time.Clock
+import toucanrelay.daemon.agent.target.TargetOutcome
+
+/**
+ * When a request ran on the target.
+ *
+ * @property milliseconds how long it ran.
+ * @property era era of the admission limit in which it started.
+ */
+internal data class RunSample(
+    val milliseconds: Long,
+    val era: Int,
+)
 
 /**
  * The agent's decisions about its slots, put together; guarded by the lock of [WorkDesk].
@@ -59,7 +73,36 @@
         return grants
     }
 
-    /** Slots that entries may fill without a grant: none while requests wait. */
+    /** Slots that entries may fill without a grant: none while requests wait or nothing is loaded. */
     fun freeSlots(pools: Set<Pool>): Int =
-        if (scheduler.hasDemand(pools)) 0 else (slots.spare - scheduler.outstanding).coerceAtLeast(0)
+        if (pools.isEmpty() || scheduler.hasDemand(pools)) 0 else (slots.spare - scheduler.outstanding).coerceAtLeast(0)
+
+    /** Draws from the [outcome] of the request that [sample] describes what the target bears. */
+    fun learn(outcome: TargetOutcome, sample: RunSample, weights: ServiceWeights) {
+        when (outcome) {
+            is TargetOutcome.Whole -> learn(outcome, sample, weights)
+            is TargetOutcome.NotRun -> if (outcome.reason in FAILURES_OF_THE_TARGET) limit.cut()
+            is TargetOutcome.Lost -> if (outcome.reason in FAILURES_OF_THE_TARGET) limit.cut()
+        }
+    }
+
+    private fun learn(outcome: TargetOutcome.Whole, sample: RunSample, weights: ServiceWeights) {
+        if (outcome.status == OVERLOADED) limit.cut()
+        if (outcome.status >= FIRST_ERROR) return
+        val usage = outcome.usage
+        val units = usage.promptTokens * weights.promptToken + usage.generatedTokens * weights.generatedToken
+        limit.completed(sample.milliseconds / units.coerceAtLeast(1.0), slots.running, sample.era)
+    }
+
+    private companion object {
+        const val OVERLOADED = 503
+        const val FIRST_ERROR = 400
+        val FAILURES_OF_THE_TARGET =
+            setOf(
+                RefusalReason.TARGET_REFUSED,
+                RefusalReason.TARGET_UNREACHABLE,
+                RefusalReason.ANSWER_LOST,
+                RefusalReason.TARGET_FAILED,
+            )
+    }
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
 import toucanrelay.core.bundle.OrganisationLimits
+import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.core.identity.Pool
 import toucanrelay.core.identity.RequestId
@@ -52,6 +53,7 @@
     private val queues = RequestQueues { organisation -> limitsOf(bundles, organisation) }
     private val tickets = HashMap<RequestId, Ticket>()
     private val views = LinkedHashMap<AgentLink, TargetView>()
+    private var leaving: Set<InstanceId> = emptySet()
 
     val totalWaiting: Int
         get() = lock.withLock { queues.totalWaiting }
@@ -99,7 +101,21 @@
         }
 
     /** Notes that the target of [assignment] refused. */
-    fun refused(assignment: Assignment) = lock.withLock { views[assignment.link]?.refused() }
+    fun refused(assignment: Assignment) =
+        lock.withLock {
+            assignment.allowedBy?.let { views[assignment.link]?.capacity?.end(it) }
+            views[assignment.link]?.capacity?.refuse(now())
+        }
+
+    /** Notes that the attempt on the target of [assignment] ended. */
+    fun ended(assignment: Assignment) =
+        lock.withLock {
+            val view = views[assignment.link]
+            if (view != null && assignment.allowedBy != null) {
+                view.capacity.end(assignment.allowedBy)
+                queues.pools.filter { it in view.pools }.forEach(::dispatch)
+            }
+        }
 
     /** Gives up requests that cannot be served any more, and looks again at those that may now leave the region. */
     fun sweep() =
@@ -114,13 +130,18 @@
 
     override fun onLinkAdded(link: AgentLink) =
         lock.withLock {
-            views[link] = TargetView(link, clock.nowMilliseconds())
+            views[link] = TargetView(link, now())
         }
 
     override fun onLinkRemoved(link: AgentLink) =
         lock.withLock {
             views.remove(link)
-            Unit
+            link.demandChanged()
+        }
+
+    override fun onLeaving(instances: Set<InstanceId>) =
+        lock.withLock {
+            leaving = instances
         }
 
     override fun onConnected(link: AgentLink, session: AgentSession) =
@@ -131,7 +152,7 @@
 
     override fun onDisconnected(link: AgentLink) =
         lock.withLock {
-            views[link]?.disconnected(clock.nowMilliseconds())
+            views[link]?.disconnected(now())
             Unit
         }
 
@@ -147,11 +168,9 @@
     override fun onGrant(link: AgentLink, grant: Grant) =
         lock.withLock {
             link.demandGranted()
-            val view = views[link]
-            val session = view?.session ?: return
-            val request = view.takeIf { it.isUsable }?.let { requestFor(grant, it) }
-            if (request == null) decline(session, grant) else assign(request, view, grant.grantId)
-            Unit
+            val view = views[link]?.takeIf { it.isUsable && isInService(it) }
+            val request = view?.let { requestFor(grant, it) }
+            if (request == null) decline(link, grant) else assign(request, view, grant.grantId, null)
         }
 
     override fun onCacheChange(link: AgentLink, change: CacheChange) =
@@ -194,11 +213,9 @@
     }
 
     private fun mayBind(request: WaitingRequest, view: TargetView): Boolean {
-        val candidate = view.candidateFor(request)
+        val candidate = view.candidateFor(request, now())
         if (routing.isLocal(candidate) && view.target !in request.refusedBy) return true
-        val candidates = candidatesFor(request)
-        val isTriedLast = view.target in request.refusedBy && candidates.any { it.target !in request.refusedBy }
-        return !isTriedLast && routing.mayBind(request, candidate, candidates, clock.nowMilliseconds())
+        return routing.mayBind(request, candidate, candidatesFor(request), now())
     }
 
     private fun place(request: WaitingRequest): Ticket {
@@ -210,7 +227,7 @@
     }
 
     private fun dispatch(pool: Pool) {
-        while (views.values.any { it.isUsable && pool in it.pools && it.hasFree }) {
+        while (views.values.any { it.isUsable && pool in it.pools && it.capacity.available(now()) > 0 }) {
             val started = queues.heads(pool, account.policy).any(::push)
             if (!started) break
         }
@@ -218,32 +235,36 @@
     }
 
     private fun push(request: WaitingRequest): Boolean {
-        val chosen = routing.choose(request, candidatesFor(request), clock.nowMilliseconds()) ?: return false
+        val chosen = routing.choose(request, candidatesFor(request), now()) ?: return false
         val view = views.values.first { it.target == chosen.target && it.isUsable }
-        view.sent()
-        return assign(request, view, grantId = 0)
+        assign(request, view, grantId = 0, allowedBy = view.capacity.send())
+        return true
     }
 
-    private fun assign(request: WaitingRequest, view: TargetView, grantId: Long): Boolean {
+    private fun assign(
+        request: WaitingRequest,
+        view: TargetView,
+        grantId: Long,
+        allowedBy: Long?,
+    ) {
         val session = checkNotNull(view.session)
-        val isRemote = !routing.isLocal(view.candidateFor(request))
+        val isRemote = !routing.isLocal(view.candidateFor(request, now()))
         if (isRemote) budget.reserve(routing.linkBytes(request))
         queues.start(request)
         account.charge(request.organisation, request.cost)
         noteLeft(request)
         val ticket = tickets.remove(request.id)
-        meters.waited(clock.nowMilliseconds() - request.arrivedAtMilliseconds)
-        ticket?.decision?.complete(Ok(Assignment(view.link, session, grantId, isRemote)))
-        return true
+        meters.waited(now() - request.arrivedAtMilliseconds)
+        ticket?.decision?.complete(Ok(Assignment(view.link, session, grantId, allowedBy, isRemote)))
     }
 
     /** Replaces the bytes reserved for [request] by those that went over the link to another region. */
     fun settleRemote(request: WaitingRequest, usedBytes: Long) =
         lock.withLock { budget.settle(routing.linkBytes(request), usedBytes) }
 
-    private fun decline(session: AgentSession, grant: Grant) {
+    private fun decline(link: AgentLink, grant: Grant) {
         meters.grantsDeclined.increment()
-        session.send(
+        link.session.value?.send(
             EntryMessage
                 .newBuilder()
                 .setGrantDeclined(GrantDeclined.newBuilder().setGrantId(grant.grantId))
@@ -273,7 +294,7 @@
     private fun isHopeless(pool: Pool): Boolean = views.values.none { isHopeful(it, pool) }
 
     private fun isHopeful(view: TargetView, pool: Pool): Boolean {
-        val isAwaited = view.isAwaited(clock.nowMilliseconds(), terms.reconnectGraceMilliseconds)
+        val isAwaited = view.isAwaited(now(), terms.reconnectGraceMilliseconds)
         val mayServe =
             if (isAwaited) {
                 bundledPools(view)?.contains(pool) == true
@@ -287,10 +308,12 @@
     private fun candidatesFor(request: WaitingRequest): List<Candidate> =
         views.values
             .filter { it.isUsable && request.pool in it.pools && isInService(it) }
-            .map { it.candidateFor(request) }
+            .map { it.candidateFor(request, now()) }
 
     private fun isInService(view: TargetView): Boolean = bundles.current.value?.isInService(view.target) == true
 
+    private fun now() = clock.nowMilliseconds()
+
     private fun bundledPools(view: TargetView) =
         bundles.current.value
             ?.targets
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Ticket.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Ticket.kt
@@ -1,6 +1,7 @@
 package toucanrelay.daemon.entry.dispatch
 
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import toucanrelay.core.queue.WaitingRequest
@@ -12,12 +13,14 @@
  * The target that a request is sent to.
  *
  * @property grantId zero when the request is sent without a grant.
+ * @property allowedBy the announcement of capacity that allowed it; null when it is sent by a grant.
  * @property isRemote whether the target is in another region.
  */
 internal class Assignment(
     val link: AgentLink,
     val session: AgentSession,
     val grantId: Long,
+    val allowedBy: Long?,
     val isRemote: Boolean,
 )
 
@@ -28,8 +31,8 @@
     /** Completed with a target, or with the reason for which the request is given up. */
     val decision = CompletableDeferred<Result<Assignment, RefusalReason>>()
 
-    /** Whether the request was bound to a target. */
+    /** The target that the request was bound to; null when it was not. */
     @OptIn(ExperimentalCoroutinesApi::class)
-    val isAssigned: Boolean
-        get() = decision.isCompleted && decision.getCompleted().isOk
+    val assignment: Assignment?
+        get() = if (decision.isCompleted) decision.getCompleted().get() else null
 }
