--- a/measure/src/main/kotlin/toucanrelay/measure/fleet/RunningFleet.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/RunningFleet.kt
@@ -50,6 +50,10 @@
     val endpoints: List<Endpoint>
         get() = entries.mapNotNull { entry -> entry.ports.callers?.let { Endpoint(LOOPBACK, it) } }
 
+    /** The agents' ports for operators. */
+    val agentOperators: List<Endpoint>
+        get() = engines.map { Endpoint(LOOPBACK, it.agent.ports.operators) }
+
     /** Every daemon. */
     val nodes: List<RunningNode>
         get() = entries + engines.map { it.agent } + services.map { it.agent }
--- a/measure/src/main/kotlin/toucanrelay/measure/quickstart/MetricsReader.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/metrics/MetricsReader.kt
@@ -1,4 +1,4 @@
-package toucanrelay.measure.quickstart
+package toucanrelay.measure.metrics
 
 import toucanrelay.measure.load.Endpoint
 import java.io.IOException
@@ -10,7 +10,7 @@
 
 private const val TIMEOUT_SECONDS = 5L
 
-/** Reads counters with a reason from a daemon's metrics in Prometheus' text format. */
+/** Reads a daemon's metrics in Prometheus' text format. */
 internal class MetricsReader {
     private val client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(TIMEOUT_SECONDS)).build()
 
@@ -23,6 +23,15 @@
             .filterValues { it > 0 }
             .toSortedMap()
 
+    /** The gauge [name], which has no tags, of all [endpoints] together. */
+    fun sum(name: String, endpoints: List<Endpoint>): Double =
+        endpoints.sumOf { endpoint ->
+            read(endpoint).lines().firstNotNullOfOrNull { untagged(name, it) } ?: 0.0
+        }
+
+    private fun untagged(name: String, line: String): Double? =
+        if (line.startsWith("$name ")) line.substringAfter(' ').toDoubleOrNull() else null
+
     private fun read(endpoint: Endpoint): String {
         val request =
             HttpRequest
--- a/measure/src/main/kotlin/toucanrelay/measure/quickstart/QuickstartMain.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/quickstart/QuickstartMain.kt
@@ -15,6 +15,7 @@
 import toucanrelay.measure.load.OrganisationLoad
 import toucanrelay.measure.load.RequestKind
 import toucanrelay.measure.load.RequestMix
+import toucanrelay.measure.metrics.MetricsReader
 import kotlin.system.exitProcess
 
 private const val EXIT_UNSOUND = 1
--- a/measure/src/main/kotlin/toucanrelay/measure/scenario/Experiment.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/Experiment.kt
@@ -10,6 +10,8 @@
 import toucanrelay.measure.result.Figure
 
 internal const val SAMPLE_MILLISECONDS = 50L
+internal const val FULL_USE_LIMIT_SECONDS = 40.0
+private const val FULL_USE = 0.95
 private const val END_GRACE_MILLISECONDS = 10_000L
 
 /** Runs [block] on a fleet that is stopped afterwards. */
@@ -41,6 +43,22 @@
     }
 }
 
+/**
+ * Suspends until almost all slots are in use, as agents raise their limits on evidence only.
+ *
+ * @return the time that it took in seconds; [FULL_USE_LIMIT_SECONDS] when that never came.
+ */
+internal suspend fun RunningFleet.awaitFullUse(): Double {
+    val start = System.nanoTime()
+    var seconds = 0.0
+    while (seconds < FULL_USE_LIMIT_SECONDS) {
+        if (engines.sumOf { it.engine.running } >= plan.modelSlots * FULL_USE) return seconds
+        delay(SAMPLE_MILLISECONDS)
+        seconds = (System.nanoTime() - start) / 1e9
+    }
+    return FULL_USE_LIMIT_SECONDS
+}
+
 /** Calls [sample] regularly for [seconds]. */
 internal suspend fun sampleFor(seconds: Double, sample: suspend () -> Unit) {
     val end = System.nanoTime() + (seconds * 1e9).toLong()
--- a/measure/src/main/kotlin/toucanrelay/measure/scenario/OverheadScenario.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/OverheadScenario.kt
@@ -61,6 +61,7 @@
             entries(1)
             engines(MODEL, settings.targets) {
                 slots = SLOTS
+                coldSlots = SLOTS
                 stepMilliseconds = tokenMilliseconds
                 stepMillisecondsPerRequest = 0.0
             }
--- a/measure/src/main/kotlin/toucanrelay/measure/scenario/UtilisationScenario.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/UtilisationScenario.kt
@@ -1,13 +1,12 @@
 package toucanrelay.measure.scenario
 
-import kotlinx.coroutines.delay
 import toucanrelay.measure.fleet.RunningFleet
 import toucanrelay.measure.load.LoadGenerator
+import toucanrelay.measure.metrics.MetricsReader
 import toucanrelay.measure.result.Figure
 import toucanrelay.measure.result.ScenarioResult
 import toucanrelay.measure.result.ScenarioSettings
 
-private const val WARM_UP_MILLISECONDS = 4_000L
 private const val TARGET_PERCENT = 97.0
 
 /** Adds up how long slots were in use while work waited. */
@@ -54,25 +53,38 @@
         val plan = standardFleet(settings)
         return withFleet(plan) { fleet ->
             fleet.underLoad(plan.contendingLoads(), settings.seed) { generator ->
-                delay(WARM_UP_MILLISECONDS)
+                val fullUseSeconds = fleet.awaitFullUse()
                 val meter = UtilisationMeter(fleet, generator)
                 sampleFor(settings.seconds.toDouble()) { meter.sample() }
-                result(settings, meter, generator)
+                result(settings, meter, generator, limitFigures(fleet, fullUseSeconds))
             }
         }
     }
 
-    private fun result(settings: ScenarioSettings, meter: UtilisationMeter, generator: LoadGenerator) =
-        ScenarioResult(
-            scenario = name,
-            settings = settings,
-            figures =
-                listOf(
-                    Figure("busy part of the slots while work waited", meter.percent, "%"),
-                    Figure("time during which work waited", meter.waitingSeconds, "s"),
-                    Figure("whole answers", generator.meters.sumOf { it.answers }.toDouble(), "answers"),
-                ) + generator.meters.failureFigures(),
-            target = "at least 97 % while any work waits",
-            withinTarget = meter.percent >= TARGET_PERCENT && meter.waitingSeconds > 0,
+    private fun limitFigures(fleet: RunningFleet, fullUseSeconds: Double): List<Figure> {
+        val admitted = MetricsReader().sum("toucanrelay_agent_limit", fleet.agentOperators)
+        return listOf(
+            Figure("slots of the targets", fleet.plan.modelSlots.toDouble(), "slots"),
+            Figure("slots that agents admitted at the end", admitted, "slots"),
+            Figure("time until the slots were first in use, at most $FULL_USE_LIMIT_SECONDS", fullUseSeconds, "s"),
         )
+    }
+
+    private fun result(
+        settings: ScenarioSettings,
+        meter: UtilisationMeter,
+        generator: LoadGenerator,
+        limits: List<Figure>,
+    ) = ScenarioResult(
+        scenario = name,
+        settings = settings,
+        figures =
+            listOf(
+                Figure("busy part of the slots while work waited", meter.percent, "%"),
+                Figure("time during which work waited", meter.waitingSeconds, "s"),
+                Figure("whole answers", generator.meters.sumOf { it.answers }.toDouble(), "answers"),
+            ) + limits + generator.meters.failureFigures(),
+        target = "at least 97 % while any work waits",
+        withinTarget = meter.percent >= TARGET_PERCENT && meter.waitingSeconds > 0,
+    )
 }
--- a/measure/src/test/kotlin/toucanrelay/measure/quickstart/MetricsReaderTest.kt
+++ b/measure/src/test/kotlin/toucanrelay/measure/metrics/MetricsReaderTest.kt
@@ -1,4 +1,4 @@
-package toucanrelay.measure.quickstart
+package toucanrelay.measure.metrics
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
