Limit the nesting of documents from outside

Cause: BadInputTest's deep nesting (3,000 levels) got no answer within 60 s under load: the recursive parser overflowed the coroutine's stack and the request was left without an answer. On an idle machine compiled frames are smaller and it passed. Conclusion: refused with 400 malformed-request whatever the stack.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/ModelCallParser.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/ModelCallParser.kt
@@ -14,6 +14,8 @@
 import kotlinx.serialization.json.longOrNull
 import toucanrelay.core.identity.Pool
 import toucanrelay.core.refusal.RefusalReason
+import toucanrelay.platform.json.MOST_JSON_NESTING
+import toucanrelay.platform.json.isJsonNestedDeeperThan
 
 /**
  * What the relay reads of a chat completion.
@@ -43,7 +45,14 @@
     fun parse(body: ByteArray): Result<ModelCallDescription, Refusal> {
         val root =
             try {
-                Json.parseToJsonElement(body.decodeToString(throwOnInvalidSequence = true))
+                val text = body.decodeToString(throwOnInvalidSequence = true)
+                if (isJsonNestedDeeperThan(
+                        text,
+                    )
+                ) {
+                    return malformed("The body nests deeper than $MOST_JSON_NESTING levels.")
+                }
+                Json.parseToJsonElement(text)
             } catch (cause: SerializationException) {
                 return malformed("The body is not JSON.")
             } catch (cause: CharacterCodingException) {
