--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/LinkServer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/LinkServer.kt
@@ -35,10 +35,17 @@
         withContext(Dispatchers.IO) {
             server?.shutdown()?.awaitTermination(CLOSING_MILLISECONDS, TimeUnit.MILLISECONDS)
             server?.shutdownNow()?.awaitTermination(CLOSING_MILLISECONDS, TimeUnit.MILLISECONDS)
-            eventLoops.shutdownGracefully(0, CLOSING_MILLISECONDS, TimeUnit.MILLISECONDS)
+            closeEventLoops()
         }
     }
 
+    // Calls that were cancelled still close their streams on the event loops; the quiet period lets them.
+    private fun closeEventLoops() {
+        eventLoops
+            .shutdownGracefully(QUIET_MILLISECONDS, CLOSING_MILLISECONDS, TimeUnit.MILLISECONDS)
+            .awaitUninterruptibly(CLOSING_MILLISECONDS)
+    }
+
     private fun build(): Server =
         NettyServerBuilder
             .forAddress(InetSocketAddress(address.host, address.port))
@@ -57,5 +64,6 @@
         const val MESSAGE_BYTES = 17 * 1_024 * 1_024
         const val KEEP_ALIVE_MILLISECONDS = 1_000L
         const val CLOSING_MILLISECONDS = 500L
+        const val QUIET_MILLISECONDS = 100L
     }
 }
