--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BundleRegister.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BundleRegister.kt
@@ -5,13 +5,13 @@
 
 /** The bundle in force on this process. */
 public interface BundleRegister {
-    /** The bundle in force, or null until one is known to be no older than what the fleet runs. */
-    public val current: StateFlow<Bundle?>
-
     /**
-     * The bundle in force, checked at this moment.
+     * The bundle in force, or null until one is known to be no older than what the fleet runs.
      *
-     * A process that was paused for long gets null here at once, while [current] may still show the bundle of before.
+     * A read of the value checks at that moment whether this process was paused; it is then null until it is confirmed.
      */
+    public val current: StateFlow<Bundle?>
+
+    /** The bundle in force at this moment. */
     public fun inForce(): Bundle? = current.value
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/FleetNode.kt
@@ -122,10 +122,15 @@
 
     // An entry without the fleet's totals would take its organisations to be far behind the others.
     private suspend fun releaseWhenReady() {
-        if (isEntry) withTimeoutOrNull(ADOPTION_LIMIT_MILLISECONDS) { service.adopted.first { it } }
+        if (isEntry) withTimeoutOrNull(ADOPTION_LIMIT_MILLISECONDS) { awaitTotals() }
         held.release()
     }
 
+    private suspend fun awaitTotals() {
+        known.listRead.first { it }
+        if (known.entries().any { it.instance != own.instance }) service.adopted.first { it }
+    }
+
     private fun bundleReaders(): Int = if (isEntry) known.entries().size else held.targetCount()
 
     private fun isReadNeeded(): Boolean =
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/HeldBundles.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/HeldBundles.kt
@@ -55,16 +55,11 @@
         }
     }
 
-    override val current: StateFlow<Bundle?> = inForce.asStateFlow()
+    override val current: StateFlow<Bundle?> = CheckedStateFlow(inForce.asStateFlow()) { noteTime() }
 
     /** The version held, whether or not it is confirmed; zero for none. */
     val version: StateFlow<Long> = heldVersion.asStateFlow()
 
-    override fun inForce(): Bundle? {
-        noteTime()
-        return inForce.value
-    }
-
     /** The share of [organisation] in the bundle that is held, in force or not. */
     fun shareOf(organisation: OrganisationId): Double? =
         synchronized(lock) { held?.organisations?.get(organisation)?.share }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/InstanceDirectory.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/InstanceDirectory.kt
@@ -35,6 +35,7 @@
     private val marks = LeavingMarks(clock)
     private val known = MutableStateFlow<PersistentList<InstanceRecord>>(persistentListOf())
     private val linked = MutableStateFlow<PersistentList<InstanceRecord>>(persistentListOf())
+    private val isListRead = MutableStateFlow(false)
     private val marked = MutableStateFlow<Set<InstanceId>>(emptySet())
     private val reads = meters.counter("toucanrelay.fleet.list.reads", "outcome", "read")
     private val failures = meters.counter("toucanrelay.fleet.list.reads", "outcome", "failed")
@@ -53,6 +54,9 @@
 
     override val linkedAgents: StateFlow<PersistentList<InstanceRecord>> = linked.asStateFlow()
 
+    /** Whether a list was read since the start. */
+    val listRead: StateFlow<Boolean> = isListRead.asStateFlow()
+
     /** The instances that leave, as a list or another entry showed it. */
     val leaving: StateFlow<Set<InstanceId>> = marked.asStateFlow()
 
@@ -66,6 +70,7 @@
             .onSuccess {
                 reads.increment()
                 takeList(it)
+                isListRead.value = true
             }.onFailure {
                 failures.increment()
                 Logger.debug { "fleet: list of instances not read: ${it.detail}" }
