Send charges in fixed-point steps and refuse what is no number

Cause: doubles made a steady batch of 220 organisations 730 bytes, which sets the round and so the delay of the exchange; and a property test found that a charge of NaN spoils an account for good.

--- a/core/src/main/kotlin/toucanrelay/core/exchange/ExchangePace.kt
+++ b/core/src/main/kotlin/toucanrelay/core/exchange/ExchangePace.kt
@@ -13,8 +13,10 @@
     public val longestMilliseconds: Long = 2_500,
 ) {
     /** The time until the next round after one that took [bytes] on all links together. */
-    public fun nextMilliseconds(bytes: Long): Long =
-        (bytes * MILLISECONDS_IN_A_SECOND / budgetBytesPerSecond).coerceIn(shortestMilliseconds, longestMilliseconds)
+    public fun nextMilliseconds(bytes: Long): Long {
+        val spaced = (bytes * MILLISECONDS_IN_A_SECOND + budgetBytesPerSecond - 1) / budgetBytesPerSecond
+        return spaced.coerceIn(shortestMilliseconds, longestMilliseconds)
+    }
 
     private companion object {
         const val MILLISECONDS_IN_A_SECOND = 1_000L
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BatchCodec.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BatchCodec.kt
@@ -7,6 +7,7 @@
 import kotlinx.collections.immutable.toPersistentSet
 import toucanrelay.core.exchange.AccountEntry
 import toucanrelay.core.exchange.ExchangeBatch
+import toucanrelay.core.fairness.ChargeSteps
 import toucanrelay.core.fairness.ServiceAccount
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.wire.ServiceBatch
@@ -38,8 +39,8 @@
             ServiceUpdate
                 .newBuilder()
                 .setIndex(known ?: indexes.size.also { indexes[entry.organisation] = it })
-                .setCharged(entry.account.charged)
-                .setRefunded(entry.account.refunded)
+                .setChargedSteps(ChargeSteps.count(entry.account.charged))
+                .setRefundedSteps(ChargeSteps.count(entry.account.refunded))
                 .setBacklogged(!isTotal && entry.organisation in batch.backlogged)
                 .setTotal(isTotal)
         if (known == null) update.setOrganisation(entry.organisation.value)
@@ -52,12 +53,13 @@
     private val names = HashMap<Int, OrganisationId>()
 
     /** The batch that [message] carries. */
-    fun read(message: ServiceBatch): Result<ExchangeBatch, UnknownOrganisationIndex> {
+    fun read(message: ServiceBatch): Result<ExchangeBatch, BatchError> {
+        if (!message.floor.isFinite() || message.creditFloor.isNaN()) return Err(BatchError.NotANumber)
         message.updatesList.filter { it.organisation.isNotEmpty() }.forEach {
             names[it.index] =
                 OrganisationId(it.organisation)
         }
-        message.updatesList.firstOrNull { it.index !in names }?.let { return Err(UnknownOrganisationIndex(it.index)) }
+        message.updatesList.firstOrNull { it.index !in names }?.let { return Err(BatchError.UnknownIndex(it.index)) }
         val (totals, increments) = message.updatesList.partition { it.total }
         return Ok(
             ExchangeBatch(
@@ -73,10 +75,19 @@
     }
 
     private fun read(update: ServiceUpdate): AccountEntry =
-        AccountEntry(names.getValue(update.index), ServiceAccount(update.charged, update.refunded))
+        AccountEntry(
+            names.getValue(update.index),
+            ServiceAccount(ChargeSteps.virtualTime(update.chargedSteps), ChargeSteps.virtualTime(update.refundedSteps)),
+        )
 }
 
-/** A batch uses a number that its stream never gave to an organisation. */
-internal data class UnknownOrganisationIndex(
-    val index: Int,
-)
+/** Why a message is no batch. */
+internal sealed interface BatchError {
+    /** It uses a number that its stream never gave to an organisation. */
+    data class UnknownIndex(
+        val index: Int,
+    ) : BatchError
+
+    /** Its system virtual time is not a finite number. */
+    data object NotANumber : BatchError
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/BatchCodecTest.kt
@@ -0,0 +1,59 @@
+package toucanrelay.daemon.fleet
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentSetOf
+import toucanrelay.core.exchange.AccountEntry
+import toucanrelay.core.exchange.ExchangeBatch
+import toucanrelay.core.fairness.ServiceAccount
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.wire.ServiceBatch
+
+class BatchCodecTest :
+    DescribeSpec({
+        val depot = OrganisationId("depot")
+        val van = OrganisationId("van")
+
+        describe("batches of one stream") {
+            it("arrive as they were sent, names given once") {
+                val writer = BatchWriter()
+                val reader = BatchReader()
+                val opening =
+                    ExchangeBatch(
+                        sequence = 1,
+                        totals = persistentListOf(AccountEntry(depot, ServiceAccount(12.5, 0.25))),
+                        backlogged = persistentSetOf(van),
+                        floor = 3.5,
+                        creditFloor = Double.NEGATIVE_INFINITY,
+                    )
+                val next =
+                    ExchangeBatch(
+                        sequence = 2,
+                        increments = persistentListOf(AccountEntry(van, ServiceAccount(1.0, 0.0))),
+                        totals = persistentListOf(AccountEntry(van, ServiceAccount(7.0, 2.0))),
+                        backlogged = persistentSetOf(van, depot),
+                        oldestMilliseconds = 40,
+                    )
+
+                listOf(opening, next).forEach { reader.read(writer.write(it)).get() shouldBe it }
+                writer.write(next).updatesList.count { it.organisation.isNotEmpty() } shouldBe 0
+            }
+
+            it("are refused when they use an unknown number or hold no number") {
+                val named = BatchWriter().also { it.write(ExchangeBatch(1, backlogged = persistentSetOf(depot))) }
+                val unnamed = named.write(ExchangeBatch(2, backlogged = persistentSetOf(depot)))
+                val spoilt =
+                    ServiceBatch
+                        .newBuilder()
+                        .setSequence(1)
+                        .setFloor(Double.NaN)
+                        .build()
+
+                BatchReader().read(unnamed).getError() shouldBe BatchError.UnknownIndex(0)
+                BatchReader().read(spoilt).getError() shouldBe BatchError.NotANumber
+            }
+        }
+    })
