--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -1,6 +1,5 @@
 package toucanrelay.daemon.agent.target
 
-import io.vertx.core.Future
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
@@ -32,18 +31,26 @@
     ) : Arrival<Nothing>
 }
 
-/** A request whose response has not begun. */
+/**
+ * A request whose response has not begun; it is sent here, after the handlers of its response are in place, since a part
+ * of the body that no handler takes on arrival is gone.
+ */
 internal class PendingResponse(
     private val request: HttpClientRequest,
-    response: Future<HttpClientResponse>,
+    content: Buffer? = null,
 ) {
     private val begun = CompletableDeferred<Arrival<ResponseBody>>()
 
+    @Volatile
+    private var body: ResponseBody? = null
+
     init {
-        response.map { ResponseBody(request, it) }.onComplete { result ->
+        request.response().map { ResponseBody(request, it) }.onComplete { result ->
             val body = result.result()
+            this.body = body
             begun.complete(if (body == null) Arrival.Broken(result.cause().toString()) else Arrival.Piece(body))
         }
+        if (content == null) request.send() else request.send(content)
     }
 
     /** Waits for the head of the response. */
@@ -54,9 +61,9 @@
             onTimeout(silenceMilliseconds) { Arrival.Silence }
         }
 
-    /** Drops the connection. */
+    /** Drops the connection unless the response has ended. */
     fun drop() {
-        request.reset()
+        body?.drop() ?: request.reset()
     }
 }
 
@@ -67,10 +74,16 @@
 ) {
     private val pieces = Channel<Buffer>(Channel.UNLIMITED)
 
+    @Volatile
+    private var hasEnded = false
+
     init {
         response.pause()
         response.handler { pieces.trySend(it) }
-        response.endHandler { pieces.close() }
+        response.endHandler {
+            hasEnded = true
+            pieces.close()
+        }
         response.exceptionHandler { pieces.close(it) }
     }
 
@@ -100,9 +113,9 @@
         }
     }
 
-    /** Drops the connection. */
+    /** Drops the connection unless the response has ended. */
     fun drop() {
-        request.reset()
+        if (!hasEnded) request.reset()
     }
 
     private fun arrivalOf(result: ChannelResult<Buffer>): Arrival<Buffer> {
