Order missing models under a lease and follow the prefix cache

Cause: targets that lack a model of the bundle stayed without it; entries knew nothing of prefix caches.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/AgentRole.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/AgentRole.kt
@@ -15,9 +15,12 @@
 import toucanrelay.core.grant.LeastVirtualTime
 import toucanrelay.core.grant.OrderingPolicy
 import toucanrelay.core.identity.TargetId
+import toucanrelay.daemon.agent.lease.LeaseKeeper
+import toucanrelay.daemon.agent.lease.ModelOrders
 import toucanrelay.daemon.agent.link.AgentLinkService
 import toucanrelay.daemon.agent.link.ControlStreams
 import toucanrelay.daemon.agent.link.EntryLinks
+import toucanrelay.daemon.agent.target.CacheFollower
 import toucanrelay.daemon.agent.target.EngineClient
 import toucanrelay.daemon.agent.target.ServiceClient
 import toucanrelay.daemon.agent.target.TargetClient
@@ -30,7 +33,6 @@
 import toucanrelay.daemon.shell.DaemonContext
 import toucanrelay.daemon.shell.Role
 import toucanrelay.platform.instances.InstanceState
-import toucanrelay.wire.CacheChange
 import toucanrelay.wire.ServeRequest
 
 /**
@@ -54,8 +56,11 @@
             it.board =
                 links
         }
-    private val streams = ControlStreams(context, desk, links, meters, { CacheChange.getDefaultInstance() })
+    private val cache = CacheFollower(connection, { status.hasModelList }, links::send)
+    private val streams = ControlStreams(context, desk, links, meters, cache::whole)
     private val monitor = TargetMonitor(connection, target, context.bundles, status, desk)
+    private val lease = LeaseKeeper(context.tables, target, context.run, context.clock)
+    private val orders = ModelOrders(connection, lease, status, meters)
     private val jobs = mutableListOf<Job>()
 
     override val services: PersistentList<BindableService> =
@@ -66,6 +71,8 @@
         meters.gauge("toucanrelay.agent.staged") { desk.staged }
         meters.gauge("toucanrelay.agent.limit") { desk.limit }
         jobs += context.scope.launch { monitor.run() }
+        jobs += context.scope.launch { cache.run() }
+        jobs += context.scope.launch { orders.run() }
         jobs += context.scope.launch { followBundles() }
         jobs += context.scope.launch { followDirectory() }
         jobs += context.scope.launch { tick() }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/link/ControlStreams.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/link/ControlStreams.kt
@@ -17,6 +17,8 @@
 import toucanrelay.daemon.agent.AgentMeters
 import toucanrelay.daemon.agent.work.Announcement
 import toucanrelay.daemon.agent.work.WorkDesk
+import toucanrelay.daemon.fleet.ControlKind
+import toucanrelay.daemon.fleet.ControlTraffic
 import toucanrelay.daemon.shell.DaemonContext
 import toucanrelay.wire.AgentHello
 import toucanrelay.wire.AgentMessage
@@ -36,6 +38,8 @@
     private val cachedPrefixes: () -> CacheChange,
     private val terms: HeartbeatTerms = HeartbeatTerms(),
 ) {
+    private val traffic = ControlTraffic(context.meters)
+
     /** Serves one control stream until either end closes it or the entry goes silent. */
     fun serve(requests: Flow<EntryMessage>): Flow<AgentMessage> =
         channelFlow {
@@ -44,7 +48,7 @@
             try {
                 link.send(AgentMessage.newBuilder().setHello(hello()).build())
                 link.send(AgentMessage.newBuilder().setCacheChange(cachedPrefixes()).build())
-                val sending = launch { for (message in link.outbox) send(message) }
+                val sending = launch { for (message in link.outbox) send(counted(message)) }
                 val announcing = launch { announce(link) }
                 val beating = launch { beat(link) }
                 requests.collect { receive(link, it) }
@@ -55,8 +59,14 @@
             }
         }
 
+    private fun counted(message: AgentMessage): AgentMessage {
+        traffic.sent(message.kind, message.serializedSize)
+        return message
+    }
+
     private fun receive(link: EntryLink, message: EntryMessage) {
         link.heard()
+        traffic.received(message.kind, message.serializedSize)
         when (message.messageCase) {
             EntryMessage.MessageCase.HEARTBEAT -> {
                 heartbeat(link, message.heartbeat)
@@ -149,6 +159,24 @@
     }
 }
 
+private val AgentMessage.kind: ControlKind
+    get() =
+        when (messageCase) {
+            AgentMessage.MessageCase.HELLO -> ControlKind.HELLO
+            AgentMessage.MessageCase.HEARTBEAT -> ControlKind.HEARTBEAT
+            AgentMessage.MessageCase.BUNDLE_WANTED, AgentMessage.MessageCase.BUNDLE_UPDATE -> ControlKind.BUNDLE
+            else -> ControlKind.CAPACITY
+        }
+
+private val EntryMessage.kind: ControlKind
+    get() =
+        when (messageCase) {
+            EntryMessage.MessageCase.HELLO -> ControlKind.HELLO
+            EntryMessage.MessageCase.HEARTBEAT -> ControlKind.HEARTBEAT
+            EntryMessage.MessageCase.BUNDLE_WANTED, EntryMessage.MessageCase.BUNDLE_UPDATE -> ControlKind.BUNDLE
+            else -> ControlKind.DEMAND
+        }
+
 private fun Announcement.toWire(): Capacity =
     Capacity
         .newBuilder()
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/TargetMonitor.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/TargetMonitor.kt
@@ -60,11 +60,16 @@
         }
         desk.reported(load.running + load.waiting, load.reportAgeMilliseconds)
         if (round++ % ROUNDS_BETWEEN_MODEL_LISTS == 0L) {
-            read<ModelList>("/v1/models")?.let { models -> setLoaded(models.data.map { Pool.named(it.id) }) }
+            read<ModelList>("/v1/models")?.let { models -> setModels(models) }
         }
         return true
     }
 
+    private fun setModels(models: ModelList) {
+        setLoaded(models.data.map { Pool.named(it.id) })
+        status.hasModelList = true
+    }
+
     private fun setLoaded(pools: List<Pool>) {
         val loaded = pools.toPersistentSet()
         if (loaded == status.loaded) return
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/TargetStatus.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/TargetStatus.kt
@@ -18,6 +18,10 @@
     @Volatile
     var loaded: PersistentSet<Pool> = persistentSetOf()
 
+    /** Whether the list of models was read, so that [loaded] can be relied on. */
+    @Volatile
+    var hasModelList: Boolean = false
+
     /** Whether the process was told to stop. */
     @Volatile
     var isStopping: Boolean = false
