Run control streams apart from the entry's event loop

Cause: in a trial at 50 requests/s on a machine with a load of 39 on 10 cores, the agent held the entry silent for 3 s and closed the link, because heartbeats waited behind answers on the event loop; 38 answers were resumed and all came whole. Change: control streams, heartbeats, demand and grants run on the shared worker threads; detector and pacer are guarded. The trial was not repeated: the machine is shared. Conclusion: a busy event loop no longer looks like a dead connection from this end.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLink.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLink.kt
@@ -121,9 +121,12 @@
         private val demandSource: DemandSource,
     ) {
         private val stub = AgentLinkCoroutineStub(channel)
+        private val controlStub = stub.withExecutor(ChannelFactory.controlExecutor)
         private val outgoing = Channel<EntryMessage>(OUTGOING_MESSAGES)
         private val detector = HeartbeatDetector(context.clock, terms.heartbeat)
         private val established = CompletableDeferred<AgentSession>()
+
+        @Volatile
         private var acknowledged = 0L
 
         suspend fun collect() =
@@ -132,7 +135,7 @@
                 val beating = launch { beat() }
                 val stating = launch { stateDemand() }
                 try {
-                    stub.control(outgoing.consumeAsFlow()).collect { receive(it) }
+                    controlStub.control(outgoing.consumeAsFlow()).collect { receive(it) }
                 } finally {
                     beating.cancel()
                     stating.cancel()
@@ -150,7 +153,7 @@
                 sequence += 1
                 send { heartbeat = context.bundleExchange.heartbeat(sequence, acknowledged) }
                 delay(terms.heartbeat.intervalMilliseconds)
-                if (detector.isSilent()) {
+                if (synchronized(detector) { detector.isSilent() }) {
                     meters.linksSilent.increment()
                     Logger.warn { "entry: link to ${record.instance} is silent, replacing it" }
                     channel.shutdownNow()
@@ -159,7 +162,7 @@
         }
 
         private suspend fun receive(message: AgentMessage) {
-            detector.heard()
+            synchronized(detector) { detector.heard() }
             when (message.messageCase) {
                 AgentMessage.MessageCase.HELLO -> {
                     connected(message)
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLinks.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLinks.kt
@@ -62,7 +62,7 @@
         wanted.filterKeys { it !in links }.forEach { (instance, record) ->
             val link = AgentLink(record, context, terms, meters, channels, owner)
             owner.onLinkAdded(link)
-            links[instance] = RunningLink(link, scope.launch { link.run(owner) })
+            links[instance] = RunningLink(link, scope.launch(ChannelFactory.controlDispatcher) { link.run(owner) })
         }
     }
 
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/ChannelFactory.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/ChannelFactory.kt
@@ -8,7 +8,10 @@
 import io.vertx.core.Context
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.asExecutor
 import java.net.InetSocketAddress
+import java.util.concurrent.Executor
 import java.util.concurrent.TimeUnit
 
 /**
@@ -19,7 +22,7 @@
     context: Context,
 ) {
     private val group: EventLoopGroup = NioEventLoopGroup(1)
-    private val executor = java.util.concurrent.Executor { task -> context.runOnContext { task.run() } }
+    private val executor = Executor { task -> context.runOnContext { task.run() } }
 
     /** Runs coroutines on the entry's event loop. */
     val dispatcher: CoroutineDispatcher = context.dispatcher()
@@ -39,7 +42,13 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
-    private companion object {
-        const val MAXIMUM_MESSAGE_BYTES = 67_108_864
+    companion object {
+        private const val MAXIMUM_MESSAGE_BYTES = 67_108_864
+
+        /** Runs control streams, so that heartbeats and grants do not wait behind answers on the event loop. */
+        val controlDispatcher: CoroutineDispatcher = Dispatchers.Default
+
+        /** [controlDispatcher] for gRPC. */
+        val controlExecutor: Executor = controlDispatcher.asExecutor()
     }
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/DemandSender.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/DemandSender.kt
@@ -32,12 +32,12 @@
     }
 
     fun granted() {
-        pacer.granted()
+        synchronized(pacer) { pacer.granted() }
         changed()
     }
 
     fun reset() {
-        pacer.reset()
+        synchronized(pacer) { pacer.reset() }
         changed()
     }
 
@@ -46,9 +46,9 @@
         signal.receive()
         if (session.isClosed) return changed()
         val statement = source.demandFor(link)
-        val waitMilliseconds = pacer.dueInMilliseconds(statement, clock.nowMilliseconds())
+        val waitMilliseconds = synchronized(pacer) { pacer.dueInMilliseconds(statement, clock.nowMilliseconds()) }
         if (waitMilliseconds == 0L && session.send(message(statement))) {
-            pacer.stated(statement, clock.nowMilliseconds())
+            synchronized(pacer) { pacer.stated(statement, clock.nowMilliseconds()) }
             meters.demandSent.increment()
         }
         delay(terms.demandIntervalMilliseconds)
