--- a/daemon/src/main/kotlin/toucanrelay/daemon/Main.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/Main.kt
@@ -19,6 +19,7 @@
 private const val EXIT_OK = 0
 private const val EXIT_FAILED = 1
 private const val EXIT_SETTINGS = 2
+private const val STOPPED = "143 stopped by SIGTERM after it drained"
 
 /** The daemon's command line. */
 internal class DaemonArguments {
@@ -68,7 +69,7 @@
     println("usage: toucanrelayd SETTINGS_FILE")
     println("       toucanrelayd --check-settings FILE")
     parser.printUsage(System.out)
-    println("exit codes: $EXIT_OK stopped or checked, $EXIT_FAILED failed to start, $EXIT_SETTINGS wrong settings")
+    println("exit codes: $EXIT_OK checked; $EXIT_FAILED failed to start; $EXIT_SETTINGS wrong settings; $STOPPED")
 }
 
 private fun loadOrExit(file: String): DaemonSettings =
