--- a/measure/src/main/kotlin/toucanrelay/measure/scenario/OverheadScenario.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/OverheadScenario.kt
@@ -61,10 +61,11 @@
             entries(1)
             engines(MODEL, settings.targets) {
                 slots = SLOTS
+                coldSlots = SLOTS
                 stepMilliseconds = tokenMilliseconds
                 stepMillisecondsPerRequest = 0.0
             }
-        }
+        }.copy(countsLinkBytes = false)
 
     private class PairedFigures(
         val figures: List<Figure>,
