Withdraw waiting requests that a new bundle drops, and break test links in place

Cause: requests of an organisation that a bundle dropped waited until their deadline. In one run EntryAndAgentTest "runs at most once while its link breaks again and again" failed with "Address already in use": cut and restore gives the port back between the two, and another process took it. CuttableLink can close its connections and keep listening; the two tests that cut and restored at once use it, with the same checks.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.map
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.collections.immutable.toPersistentMap
+import toucanrelay.core.bundle.Bundle
 import toucanrelay.core.bundle.OrganisationLimits
 import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.OrganisationId
@@ -54,6 +55,7 @@
     private val tickets = HashMap<RequestId, Ticket>()
     private val views = LinkedHashMap<AgentLink, TargetView>()
     private var leaving: Set<InstanceId> = emptySet()
+    private var sweptBundle: Bundle? = null
 
     val totalWaiting: Int
         get() = lock.withLock { queues.totalWaiting }
@@ -120,6 +122,7 @@
     /** Gives up requests that cannot be served any more, and looks again at those that may now leave the region. */
     fun sweep() =
         lock.withLock {
+            withdrawForbidden()
             queues.pools.forEach { pool ->
                 if (isHopeless(pool)) giveUp(pool) else dispatch(pool)
             }
@@ -272,6 +275,18 @@
         )
     }
 
+    /** Gives up requests that a new bundle no longer allows. */
+    private fun withdrawForbidden() {
+        val bundle = bundles.current.value
+        if (bundle == null || bundle === sweptBundle) return
+        sweptBundle = bundle
+        queues.pools.flatMap { queues.waitingIn(it).toList() }.forEach { request ->
+            val terms = bundle.organisations[request.organisation]
+            val reason = if (terms == null) RefusalReason.UNKNOWN_KEY else RefusalReason.FORBIDDEN_POOL
+            if (terms?.mayUse(request.pool) != true) tickets[request.id]?.let { giveUp(it, reason) }
+        }
+    }
+
     private fun giveUp(pool: Pool) =
         queues.waitingIn(pool).toList().forEach { request ->
             tickets[request.id]?.let { giveUp(it, RefusalReason.NO_TARGET) }
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryAndAgentTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryAndAgentTest.kt
@@ -118,8 +118,7 @@
                 withEngine { fleet ->
                     val answer = fleet.entry.calls.send("POST", "/v1/chat/completions", body, KEY_OF_MILL, emptyMap())
                     fleet.running()
-                    fleet.link.cut()
-                    fleet.link.restore()
+                    fleet.link.breakConnections()
 
                     answer.await().body() shouldBe fleet.straight(body)
                     fleet.entry.count("toucanrelay.retries", "reason", "answer-resumed") shouldBe 1.0
@@ -204,8 +203,7 @@
                             launch {
                                 repeat(5) {
                                     kotlinx.coroutines.delay(40)
-                                    link.cut()
-                                    link.restore()
+                                    link.breakConnections()
                                 }
                             }
                         val answers =
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryRoleTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryRoleTest.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.future.await
+import toucanrelay.core.identity.OrganisationId
 import toucanrelay.platform.instances.InstanceState
 import kotlin.time.Duration.Companion.seconds
 
@@ -202,6 +203,31 @@
                 }
             }
 
+            it("is given up at once when a new bundle drops its organisation") {
+                val agent = FakeAgent("t1", free = 0)
+                val bundle = bundleOf(mapOf("t1" to advice))
+                TestFleet(bundle).use { fleet ->
+                    fleet.link(agent.record)
+                    fleet.withEntry { entry ->
+                        val answer =
+                            entry.calls.send(
+                                "POST",
+                                "/v1/chat/completions",
+                                chatBody(false, 5),
+                                KEY_OF_MILL,
+                                emptyMap(),
+                            )
+                        eventually(10.seconds) { entry.gauge("toucanrelay.entry.waiting") shouldBe 1.0 }
+                        fleet.bundles.value =
+                            bundle.copy(organisations = bundle.organisations.remove(OrganisationId("mill")))
+
+                        answer.await().problem shouldBe "unknown-key"
+                        answer.await().executed shouldBe "no"
+                    }
+                }
+                agent.close()
+            }
+
             it("states its demand") {
                 val agent = FakeAgent("t1", free = 0)
                 withAgents(agent) { entry ->
--- a/standins/src/main/kotlin/toucanrelay/standins/CuttableLink.kt
+++ b/standins/src/main/kotlin/toucanrelay/standins/CuttableLink.kt
@@ -93,6 +93,9 @@
             connections.toList().forEach { it.close() }
         }
 
+    /** Closes all connections; new ones work at once. */
+    public suspend fun breakConnections(): Unit = onEventLoop { connections.toList().forEach { it.close() } }
+
     /** Makes the open connections silent for good, both ways, without closing them; new ones work. */
     public fun silence() {
         connections.forEach { it.silence() }
