Resume an answer on the new connection only

Cause: since control streams run apart, an answer's stream can break before the link has noticed; the answer was then resumed on the dying connection first and again on the next. Change: an attempt waits 50 ms for the link to notice before it resumes on the same connection.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Attempt.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Attempt.kt
@@ -61,12 +61,15 @@
         return (end as? RelayEnd.Unanswered)?.outcome
     }
 
-    private suspend fun nextSession(broken: AgentSession): AgentSession? =
-        assignment.link.awaitSession(
+    /** A broken connection shows on the control stream in a moment; a stream that broke alone goes on over the same. */
+    private suspend fun nextSession(broken: AgentSession): AgentSession? {
+        if (!broken.isClosed) delay(SETTLE_MILLISECONDS)
+        return assignment.link.awaitSession(
             agent = assignment.session.agent,
             broken = broken.takeIf { it.isClosed },
             limitMilliseconds = terms.resumeLimitMilliseconds,
         )
+    }
 
     private suspend fun relay(events: Flow<ServeEvent>): RelayEnd {
         var end: RelayEnd? = null
@@ -170,6 +173,7 @@
     private companion object {
         const val MAXIMUM_RESUMES = 8
         const val RESUME_DELAY_MILLISECONDS = 25L
+        const val SETTLE_MILLISECONDS = 50L
 
         fun reasonNamed(name: String): RefusalReason? = RefusalReason.entries.find { it.name == name }
     }
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/CallerCalls.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/CallerCalls.kt
@@ -68,6 +68,9 @@
 ): String =
     """{"model":"$model","stream":$stream,"max_tokens":$tokens,"messages":[{"role":"user","content":"$prompt"}]}"""
 
+val HttpResponse<String>.requestId: String
+    get() = headers().firstValue("X-Request-Id").get()
+
 val HttpResponse<String>.executed: String?
     get() = Regex("\"executed\":\"([a-z]+)\"").find(body())?.groupValues?.get(1)
 
