Close connections to targets from the agent's side

Cause: with 'Connection: close' a target closes right after it sent its answer; an agent that reads more slowly then lost the unread end and had to resume the stream, and the answer of a plain service would have been lost. Change: each request has an unpooled connection that the agent closes after it has read the answer.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -83,6 +83,7 @@
         response.endHandler {
             hasEnded = true
             pieces.close()
+            request.connection().close()
         }
         response.exceptionHandler { pieces.close(it) }
     }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/TargetConnection.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/TargetConnection.kt
@@ -4,11 +4,12 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpConnectOptions
 import io.vertx.core.http.HttpMethod
-import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.withTimeoutOrNull
+import java.net.URI
 
 /** Headers of one connection, which are not passed on (RFC 9110, section 7.6.1). */
 private val CONNECTION_HEADERS =
@@ -32,23 +33,38 @@
  * Makes connections to one target.
  *
  * Each request has a connection of its own, so that a connection that went silent harms one request, and so that a
- * failure to connect proves that the target did not get the request.
+ * failure to connect proves that the target did not get the request. The agent closes a connection once it has read the
+ * answer: a target that closes first can take the unread end of an answer with it.
  *
  * @param baseUrl base URL of the target.
  */
 internal class TargetConnection(
     vertx: Vertx,
-    private val baseUrl: String,
+    baseUrl: String,
 ) {
-    private val client =
-        vertx.createHttpClient(
-            HttpClientOptions().setKeepAlive(false).setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS),
-            PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS),
-        )
+    private val base = URI(baseUrl.trimEnd('/'))
+    private val isEncrypted = base.scheme == "https"
+    private val port =
+        if (base.port > 0) {
+            base.port
+        } else if (isEncrypted) {
+            HTTPS_PORT
+        } else {
+            HTTP_PORT
+        }
+    private val client = vertx.createHttpClient(HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS))
 
     /** Connects; throws when no connection could be made, and then the target got nothing. */
-    suspend fun connect(method: HttpMethod, path: String): HttpClientRequest =
-        client.request(RequestOptions().setMethod(method).setAbsoluteURI(baseUrl.trimEnd('/') + path)).coAwait()
+    suspend fun connect(method: HttpMethod, path: String): HttpClientRequest {
+        val address = HttpConnectOptions().setHost(base.host).setPort(port).setSsl(isEncrypted)
+        val options =
+            RequestOptions()
+                .setHost(base.host)
+                .setPort(port)
+                .setMethod(method)
+                .setURI(base.rawPath + path)
+        return client.connect(address).compose { it.request(options) }.coAwait()
+    }
 
     /** Makes a short call and returns its answer; null when none came in time. */
     suspend fun call(method: HttpMethod, path: String, body: Buffer? = null): ShortAnswer? =
@@ -57,11 +73,10 @@
                 val request = connect(method, path)
                 if (body != null) request.putHeader("Content-Type", "application/json")
                 val answer =
-                    request.response().compose {
-                        it.body().map { whole ->
-                            ShortAnswer(it.statusCode(), whole)
-                        }
-                    }
+                    request
+                        .response()
+                        .compose { head -> head.body().map { ShortAnswer(head.statusCode(), it) } }
+                        .onComplete { request.connection().close() }
                 if (body == null) request.send() else request.send(body)
                 answer.coAwait()
             }.getOrNull()
@@ -74,7 +89,8 @@
     private companion object {
         const val CONNECT_TIMEOUT_MILLISECONDS = 2_000
         const val SHORT_CALL_MILLISECONDS = 2_000L
-        const val MOST_CONNECTIONS = 4_096
+        const val HTTP_PORT = 80
+        const val HTTPS_PORT = 443
     }
 }
 
