Join what waits on its way from the target to the entry

Cause: each token of an answer cost a message on each step of its way, also when the next step was behind; finding the chunk at an offset walked over all retained chunks. Change: pieces that have come already are joined when read, chunks are joined up to 16 KiB for a reader that is behind, and the chunk is found by binary search.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -86,6 +86,7 @@
             request.connection().close()
         }
         response.exceptionHandler { pieces.close(it) }
+        response.fetch(READ_AHEAD_PIECES)
     }
 
     val status: Int
@@ -104,14 +105,26 @@
         return head.build()
     }
 
-    /** Waits for the next piece. */
+    /** Waits for what comes next; all that has come already is joined. */
     @OptIn(ExperimentalCoroutinesApi::class)
     suspend fun next(silenceMilliseconds: Long): Arrival<Buffer> {
-        response.fetch(1)
-        return select {
-            pieces.onReceiveCatching { arrivalOf(it) }
-            onTimeout(silenceMilliseconds) { Arrival.Silence }
+        val arrival =
+            select {
+                pieces.onReceiveCatching { arrivalOf(it) }
+                onTimeout(silenceMilliseconds) { Arrival.Silence }
+            }
+        return if (arrival is Arrival.Piece) Arrival.Piece(withMore(arrival.value)) else arrival
+    }
+
+    private fun withMore(first: Buffer): Buffer {
+        val joined = first.copy()
+        var taken = 1L
+        while (true) {
+            joined.appendBuffer(pieces.tryReceive().getOrNull() ?: break)
+            taken += 1
         }
+        response.fetch(taken)
+        return joined
     }
 
     /** Drops the connection unless the response has ended. */
@@ -128,4 +141,9 @@
             else -> Arrival.End
         }
     }
+
+    private companion object {
+        /** Pieces that may wait to be read. */
+        const val READ_AHEAD_PIECES = 16L
+    }
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/AnswerBuffer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/work/AnswerBuffer.kt
@@ -163,11 +163,23 @@
             }
         }
 
+    /** The chunks from [offset] on, joined up to a bound, so that a reader that is behind catches up in few messages. */
     private fun chunkAt(offset: Long): ServeEvent {
-        val event = chunks.first { it.chunk.offset + it.chunk.body.size() > offset }
-        val skipped = (offset - event.chunk.offset).toInt()
-        if (skipped == 0) return event
-        return chunkEvent(offset, event.chunk.body.substring(skipped), event.chunk.generatedTokens)
+        val index = indexOfChunkAt(offset)
+        var body = chunks[index].chunk.body.substring((offset - chunks[index].chunk.offset).toInt())
+        var tokens = chunks[index].chunk.generatedTokens
+        var next = index + 1
+        while (next < chunks.size && body.size() + chunks[next].chunk.body.size() <= LONGEST_JOINED_BYTES) {
+            body = body.concat(chunks[next].chunk.body)
+            tokens += chunks[next].chunk.generatedTokens
+            next += 1
+        }
+        return chunkEvent(offset, body, tokens)
+    }
+
+    private fun indexOfChunkAt(offset: Long): Int {
+        val found = chunks.binarySearch { it.chunk.offset.compareTo(offset) }
+        return if (found >= 0) found else -found - 2
     }
 
     private fun hasRoom(): Boolean = lock.withLock { last != null || endOffset - readOffset < bounds.readAheadBytes }
@@ -184,6 +196,10 @@
 
     private fun changed() = changes.update { it + 1 }
 
+    private companion object {
+        const val LONGEST_JOINED_BYTES = 16 * 1_024
+    }
+
     private class Position(
         val reader: Long,
         var offset: Long,
