--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/link/ControlStreams.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/link/ControlStreams.kt
@@ -2,6 +2,7 @@
 
 import io.grpc.Status
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.channels.ProducerScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.channelFlow
@@ -48,7 +49,7 @@
             try {
                 link.send(AgentMessage.newBuilder().setHello(hello()).build())
                 link.send(AgentMessage.newBuilder().setCacheChange(cachedPrefixes()).build())
-                val sending = launch { for (message in link.outbox) send(counted(message)) }
+                val sending = launch { sendFrom(link) }
                 val announcing = launch { announce(link) }
                 val beating = launch { beat(link) }
                 requests.collect { receive(link, it) }
@@ -59,6 +60,13 @@
             }
         }
 
+    /** Sends what is queued; fails when the entry took its messages so slowly that the queue overflowed. */
+    private suspend fun ProducerScope<AgentMessage>.sendFrom(link: EntryLink) {
+        for (message in link.outbox) send(counted(message))
+        Logger.warn("agent: an entry takes its messages too slowly, its link is closed")
+        throw Status.RESOURCE_EXHAUSTED.withDescription("messages were not taken").asException()
+    }
+
     private fun counted(message: AgentMessage): AgentMessage {
         traffic.sent(message.kind, message.serializedSize)
         return message
