Hand back waiting requests at shutdown, and be ready only with a target

Cause 1: bin/measure leaving cut 2 requests of an entry that stopped under backlog: requests that had waited for most of the limit were still sent, and cut when it ended. Ruled out: the agent (its stop cut none). Change 1: after half its limit an entry hands back what waits, with shutting-down and executed "no"; what runs keeps the other half. Change 2: ready once a target was seen; an agent that has just connected and states no pools yet is awaited for the reconnect grace; measured fleets start their load when the entries are ready. Tests: a shutdown hands back what waits.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryRole.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryRole.kt
@@ -75,17 +75,18 @@
     }
 
     override fun isReady(): Boolean =
-        isListening && !isAnnouncedLeaving && context.bundles.current.value != null &&
-            context.directory.linkedAgents.value
-                .isNotEmpty()
+        isListening && !isAnnouncedLeaving && context.bundles.current.value != null && dispatcher.hasSeenTarget
 
     override suspend fun drain(limitMilliseconds: Long): Int {
         val endsAt = context.clock.nowMilliseconds() + limitMilliseconds
+        val handsBackAt = endsAt - limitMilliseconds / 2
         isAnnouncedLeaving = true
         Logger.info { "entry: announced not ready" }
         delay(minOf(terms.announceMilliseconds, limitMilliseconds / 2))
         server.isRefusingNew = true
         while (server.active.count > 0 && context.clock.nowMilliseconds() < endsAt - CUT_MILLISECONDS) {
+            // What starts late would be cut at the limit; what still waits after half the time can run elsewhere.
+            if (context.clock.nowMilliseconds() >= handsBackAt) dispatcher.handBack()
             delay(DRAIN_CHECK_MILLISECONDS)
         }
         val cut = server.active.cut()
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
@@ -56,6 +56,12 @@
     private val views = LinkedHashMap<AgentLink, TargetView>()
     private var leaving: Set<InstanceId> = emptySet()
     private var sweptBundle: Bundle? = null
+    private var isHandingBack = false
+
+    /** Whether any agent has said since the start what its target serves. */
+    @Volatile
+    var hasSeenTarget: Boolean = false
+        private set
 
     val totalWaiting: Int
         get() = lock.withLock { queues.totalWaiting }
@@ -65,12 +71,12 @@
 
     /** Why [request] would be refused now; null when it would be taken in. */
     fun check(request: WaitingRequest): RefusalReason? =
-        lock.withLock { if (isHopeless(request.pool)) RefusalReason.NO_TARGET else queues.refusalOf(request) }
+        lock.withLock { refusalOf(request.pool) ?: queues.refusalOf(request) }
 
     /** Takes in a new request, or refuses it at once. */
     fun submit(request: WaitingRequest): Result<Ticket, RefusalReason> =
         lock.withLock {
-            if (isHopeless(request.pool)) return Err(RefusalReason.NO_TARGET)
+            refusalOf(request.pool)?.let { return Err(it) }
             queues.enqueue(request).map { place(request) }
         }
 
@@ -78,12 +84,8 @@
     fun resubmit(request: WaitingRequest): Ticket =
         lock.withLock {
             queues.requeue(request)
-            if (isHopeless(request.pool)) {
-                tickets[request.id] = Ticket(request)
-                tickets.getValue(request.id).also { giveUp(it, RefusalReason.NO_TARGET) }
-            } else {
-                place(request)
-            }
+            val refusal = refusalOf(request.pool)
+            if (refusal == null) place(request) else Ticket(request).also { giveUp(it, refusal) }
         }
 
     /** Takes a request out of the queue; false when it was bound to a target already. */
@@ -119,12 +121,20 @@
             }
         }
 
+    /** Hands back all requests that wait for a target, and from now on those that were proved not to have run. */
+    fun handBack() =
+        lock.withLock {
+            isHandingBack = true
+            queues.pools.forEach { giveUp(it, RefusalReason.SHUTTING_DOWN) }
+        }
+
     /** Gives up requests that cannot be served any more, and looks again at those that may now leave the region. */
     fun sweep() =
         lock.withLock {
             withdrawForbidden()
             queues.pools.forEach { pool ->
-                if (isHopeless(pool)) giveUp(pool) else dispatch(pool)
+                val refusal = refusalOf(pool)
+                if (refusal == null) dispatch(pool) else giveUp(pool, refusal)
             }
         }
 
@@ -149,7 +159,7 @@
 
     override fun onConnected(link: AgentLink, session: AgentSession) =
         lock.withLock {
-            views[link]?.connected(session)
+            views[link]?.connected(session, clock.nowMilliseconds())
             Unit
         }
 
@@ -164,6 +174,7 @@
             val view = views[link] ?: return
             val poolsBefore = view.pools
             view.update(capacity)
+            if (view.pools.isNotEmpty()) hasSeenTarget = true
             if (view.pools != poolsBefore) link.demandChanged()
             queues.pools.filter { it in view.pools }.forEach(::dispatch)
         }
@@ -287,9 +298,9 @@
         }
     }
 
-    private fun giveUp(pool: Pool) =
+    private fun giveUp(pool: Pool, reason: RefusalReason) =
         queues.waitingIn(pool).toList().forEach { request ->
-            tickets[request.id]?.let { giveUp(it, RefusalReason.NO_TARGET) }
+            tickets[request.id]?.let { giveUp(it, reason) }
         }
 
     private fun giveUp(ticket: Ticket, reason: RefusalReason) {
@@ -306,6 +317,14 @@
     private fun demandChanged(pool: Pool) =
         views.values.filter { pool in it.pools && it.isUsable }.forEach { it.link.demandChanged() }
 
+    /** Why no request of [pool] is taken in; null when they are. */
+    private fun refusalOf(pool: Pool): RefusalReason? =
+        when {
+            isHandingBack -> RefusalReason.SHUTTING_DOWN
+            isHopeless(pool) -> RefusalReason.NO_TARGET
+            else -> null
+        }
+
     private fun isHopeless(pool: Pool): Boolean = views.values.none { isHopeful(it, pool) }
 
     private fun isHopeful(view: TargetView, pool: Pool): Boolean {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/TargetView.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/TargetView.kt
@@ -30,7 +30,7 @@
     private var limit = 0
     private var isDraining = false
     private var isCapacityKnown = false
-    private var unconnectedSinceMilliseconds = addedAtMilliseconds
+    private var awaitedSinceMilliseconds = addedAtMilliseconds
 
     val target: TargetId = link.record.target ?: TargetId(link.record.instance.value)
     val location =
@@ -40,8 +40,9 @@
     val isUsable: Boolean
         get() = session != null && !isDraining
 
-    fun connected(newSession: AgentSession) {
+    fun connected(newSession: AgentSession, nowMilliseconds: Long) {
         session = newSession
+        awaitedSinceMilliseconds = nowMilliseconds
         isDraining = false
         isCapacityKnown = false
         limit = 0
@@ -53,7 +54,7 @@
         session = null
         limit = 0
         capacity.announce(0)
-        unconnectedSinceMilliseconds = nowMilliseconds
+        awaitedSinceMilliseconds = nowMilliseconds
     }
 
     fun update(stated: Capacity) {
@@ -64,13 +65,15 @@
         pools = stated.poolsList.map { Pool.named(it) }.toPersistentSet()
     }
 
-    /** Whether the target may be usable in a moment: its link broke or began only just now. */
-    fun isAwaited(nowMilliseconds: Long, graceMilliseconds: Long): Boolean =
-        if (session == null) {
-            nowMilliseconds - unconnectedSinceMilliseconds < graceMilliseconds
-        } else {
-            !isCapacityKnown
+    /** Whether the target may be usable in a moment: its link broke or began, or its agent began, only just now. */
+    fun isAwaited(nowMilliseconds: Long, graceMilliseconds: Long): Boolean {
+        val isRecent = nowMilliseconds - awaitedSinceMilliseconds < graceMilliseconds
+        return when {
+            session == null -> isRecent
+            !isCapacityKnown -> true
+            else -> pools.isEmpty() && isRecent
         }
+    }
 
     fun candidateFor(request: WaitingRequest, nowMilliseconds: Long): Candidate =
         Candidate(
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/Daemon.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/Daemon.kt
@@ -46,6 +46,8 @@
     private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val run = ProcessRun(InstanceId(settings.instanceId), Incarnations.next())
     private val name = "${settings.instanceId} run ${run.incarnation}"
+
+    @Volatile
     private var parts: DaemonParts? = null
 
     @Volatile
@@ -65,6 +67,10 @@
             }
         }
 
+    /** Whether callers and peers may send work, as `/readyz` says. */
+    public val isReady: Boolean
+        get() = state == DaemonState.RUNNING && parts?.role?.isReady() == true
+
     /** Takes no new work, lets the work in hand end within the limit of the settings, then frees all. */
     public suspend fun stop() {
         lifecycle.withLock {
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryRoleTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryRoleTest.kt
@@ -10,7 +10,9 @@
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldNotContain
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.future.await
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.platform.instances.InstanceState
@@ -19,6 +21,8 @@
 private const val EVENTS = "id: 1\ndata: {}\n\nid: 2\ndata: {}\n\n"
 private const val DONE = "id: 3\ndata: [DONE]\n\n"
 
+private fun CallerCalls.sendChat() = send("POST", "/v1/chat/completions", chatBody(false, 5), KEY_OF_MILL, emptyMap())
+
 /** Runs [test] on an entry that is linked to [agents]. */
 private suspend fun withAgents(vararg agents: FakeAgent, test: suspend (RunningEntry) -> Unit) {
     TestFleet(bundleOf(agents.associate { it.record.target!!.value to advice })).use { fleet ->
@@ -179,6 +183,35 @@
             }
         }
 
+        describe("a shutdown") {
+            it("hands back what waits, with time left for what runs") {
+                val goOn = CompletableDeferred<Unit>()
+                val agent =
+                    FakeAgent("t1", free = 1, serve = {
+                        admitted()
+                        goOn.await()
+                        whole("hello")
+                    })
+                withAgents(agent) { entry ->
+                    val running = entry.calls.sendChat()
+                    eventually(10.seconds) { agent.served shouldHaveSize 1 }
+                    agent.announce(free = 0)
+                    val waiting = entry.calls.sendChat()
+                    eventually(10.seconds) { agent.received.any { it.demand.poolsCount == 1 } shouldBe true }
+                    coroutineScope {
+                        val drained = async { entry.role.drain(8_000) }
+
+                        waiting.await().problem shouldBe "shutting-down"
+                        waiting.await().executed shouldBe "no"
+                        goOn.complete(Unit)
+
+                        running.await().body() shouldBe "hello"
+                        drained.await() shouldBe 0
+                    }
+                }
+            }
+        }
+
         describe("a request that waits") {
             it("is given up at once when the last target drains") {
                 val agent = FakeAgent("t1", free = 0)
--- a/measure/src/main/kotlin/toucanrelay/measure/fleet/RunningFleet.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/RunningFleet.kt
@@ -87,14 +87,14 @@
         awaitLinks()
     }
 
-    /** Suspends until every agent has a link and no further links come. */
+    /** Suspends until every entry is ready, every agent has a link and no further links come. */
     private suspend fun awaitLinks() {
         val agents = engines.map { it.agent } + services.map { it.agent }
         var before = -1
         withTimeout(START_LIMIT_MILLISECONDS) {
             while (true) {
                 val links = agents.sumOf { it.link?.openConnections ?: 0 }
-                if (agents.all { it.isLinked } && links == before) break
+                if (entries.all { it.daemon.isReady } && agents.all { it.isLinked } && links == before) break
                 before = links
                 delay(LINK_SETTLING_MILLISECONDS)
             }
