Let refreshes of demand wait for a budget of bytes

Change: statements that only refresh, or drop one organisation of several, wait for a budget that all links of an entry share (2,000 B/s). Conclusion: enough for few organisations only. A statement names the four organisations of least rank, and those change with nearly every grant.

--- a/core/src/main/kotlin/toucanrelay/core/limit/TokenBucket.kt
+++ b/core/src/main/kotlin/toucanrelay/core/limit/TokenBucket.kt
@@ -29,6 +29,12 @@
         return true
     }
 
+    /** Takes [amount] even when that leaves a debt, of at most the capacity, which is repaid first. */
+    public fun take(amount: Double) {
+        refill()
+        level = maxOf(level - amount, -capacity)
+    }
+
     /** Milliseconds until [amount] can be taken, zero when it can be taken now. */
     public fun millisecondsUntil(amount: Double = 1.0): Long {
         refill()
--- a/core/src/main/kotlin/toucanrelay/core/queue/DemandPacer.kt
+++ b/core/src/main/kotlin/toucanrelay/core/queue/DemandPacer.kt
@@ -1,12 +1,31 @@
 package toucanrelay.core.queue
 
+/** When a statement of demand is to be sent. */
+public sealed interface DemandDue {
+    /** It says nothing new. */
+    public data object Never : DemandDue
+
+    /** The agent lacks what it needs to grant a slot. */
+    public data object AtOnce : DemandDue
+
+    /**
+     * It refreshes what the agent knows, as far as the budget for control allows.
+     *
+     * @property milliseconds time until then; zero when it is due now.
+     */
+    public data class Refresh(
+        public val milliseconds: Long,
+    ) : DemandDue
+}
+
 /**
  * Decides when demand on one link is stated anew, so that control traffic stays small.
  *
- * A statement that adds or drops an organisation is due at once, and so is one for which the agent has used up what it
- * knew of. One that differs in its figures alone is due after a refresh interval.
+ * A statement that adds an organisation or empties a pool is due at once, and so is one for which the agent has used up
+ * what it knew of. One that differs in its figures alone, or drops one organisation of several, is due after a refresh
+ * interval: the agent counts its own grants meanwhile, and a grant for an organisation that is gone is declined.
  *
- * @param refreshMilliseconds least time between statements that differ in their figures alone.
+ * @param refreshMilliseconds least time between statements that only refresh.
  */
 public class DemandPacer(
     private val refreshMilliseconds: Long,
@@ -15,14 +34,13 @@
     private var statedAtMilliseconds: Long? = null
     private var grants = 0
 
-    /** Milliseconds until [statement] is due; null when it says nothing new. */
-    public fun dueInMilliseconds(statement: DemandStatement, nowMilliseconds: Long): Long? {
+    /** When [statement] is due. */
+    public fun due(statement: DemandStatement, nowMilliseconds: Long): DemandDue {
         val statedAt = statedAtMilliseconds
         return when {
-            statement == last && grants == 0 -> null
-            statedAt == null || !statement.hasSameOrganisations(last) -> 0
-            grants >= last.waiting -> 0
-            else -> (statedAt + refreshMilliseconds - nowMilliseconds).coerceAtLeast(0)
+            statement == last && grants == 0 -> DemandDue.Never
+            statedAt == null || !statement.isCoveredBy(last) || grants >= last.waiting -> DemandDue.AtOnce
+            else -> DemandDue.Refresh((statedAt + refreshMilliseconds - nowMilliseconds).coerceAtLeast(0))
         }
     }
 
--- a/core/src/main/kotlin/toucanrelay/core/queue/DemandStatement.kt
+++ b/core/src/main/kotlin/toucanrelay/core/queue/DemandStatement.kt
@@ -36,14 +36,12 @@
     public val waiting: Int
         get() = pools.values.sumOf { organisations -> organisations.sumOf { it.waiting } }
 
-    /** Whether [other] names the same organisations for the same pools. */
-    public fun hasSameOrganisations(other: DemandStatement): Boolean =
+    /** Whether [other] names the same pools, and in each at least the same organisations. */
+    public fun isCoveredBy(other: DemandStatement): Boolean =
         pools.keys == other.pools.keys &&
-            pools.all { (pool, organisations) ->
-                organisations.map { it.organisation }.toSet() ==
-                    other.pools
-                        .getValue(pool)
-                        .map { it.organisation }
-                        .toSet()
-            }
+            pools.all { (pool, organisations) -> other.organisationsOf(pool).containsAll(organisations.names()) }
+
+    private fun organisationsOf(pool: Pool): Set<OrganisationId> = pools.getValue(pool).names()
+
+    private fun List<OrganisationDemand>.names(): Set<OrganisationId> = mapTo(HashSet()) { it.organisation }
 }
--- a/core/src/test/kotlin/toucanrelay/core/limit/TokenBucketTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/limit/TokenBucketTest.kt
@@ -26,6 +26,18 @@
                 }
             }
 
+            it("repays a debt, of at most its capacity, before anything is taken") {
+                val clock = ManualClock()
+                val bucket = TokenBucket(clock, ratePerSecond = 1.0, capacity = 2.0)
+                repeat(9) { bucket.take(1.0) }
+
+                bucket.millisecondsUntil(1.0) shouldBe 3_000
+                clock.advance(2_999)
+                bucket.tryTake() shouldBe false
+                clock.advance(1)
+                bucket.tryTake() shouldBe true
+            }
+
             it("tells when the amount can be taken") {
                 val clock = ManualClock()
                 val bucket = TokenBucket(clock, ratePerSecond = 2.0, capacity = 1.0)
--- a/core/src/test/kotlin/toucanrelay/core/queue/DemandPacerTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/queue/DemandPacerTest.kt
@@ -25,30 +25,39 @@
         }
 
         describe("a statement of demand") {
-            it("is not repeated") { pacer.dueInMilliseconds(statement(waiting = 2), 5_000) shouldBe null }
+            it("is not repeated") { pacer.due(statement(waiting = 2), 5_000) shouldBe DemandDue.Never }
 
             it("is due at once for another organisation") {
-                pacer.dueInMilliseconds(statement(waiting = 2, organisation = "depot"), 1_000) shouldBe 0
+                pacer.due(statement(waiting = 2, organisation = "depot"), 1_000) shouldBe DemandDue.AtOnce
+            }
+
+            it("waits for the refresh when one organisation of several is gone") {
+                val mill = statement(waiting = 2).pools.values.single()
+                val depot = statement(waiting = 2, organisation = "depot").pools.values.single()
+                val both = DemandStatement(persistentMapOf(Pool.ofModel("advice") to mill.addAll(depot)))
+                pacer.stated(both, nowMilliseconds = 1_000)
+
+                pacer.due(statement(waiting = 2), 1_100) shouldBe DemandDue.Refresh(150)
             }
 
             it("is due at once when nobody waits any more") {
-                pacer.dueInMilliseconds(DemandStatement(), 1_000) shouldBe
-                    0
+                pacer.due(DemandStatement(), 1_000) shouldBe
+                    DemandDue.AtOnce
             }
 
             it("waits for the refresh when only figures changed") {
-                pacer.dueInMilliseconds(statement(waiting = 9), 1_100) shouldBe 150
-                pacer.dueInMilliseconds(statement(waiting = 9), 1_250) shouldBe 0
+                pacer.due(statement(waiting = 9), 1_100) shouldBe DemandDue.Refresh(150)
+                pacer.due(statement(waiting = 9), 1_250) shouldBe DemandDue.Refresh(0)
             }
 
             it("is due at once when the agent has granted all that it knew of") {
                 repeat(2) { pacer.granted() }
-                pacer.dueInMilliseconds(statement(waiting = 2), 1_000) shouldBe 0
+                pacer.due(statement(waiting = 2), 1_000) shouldBe DemandDue.AtOnce
             }
 
             it("is due at once on a new connection") {
                 pacer.reset()
-                pacer.dueInMilliseconds(statement(waiting = 2), 1_000) shouldBe 0
+                pacer.due(statement(waiting = 2), 1_000) shouldBe DemandDue.AtOnce
             }
         }
     })
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryTerms.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryTerms.kt
@@ -9,6 +9,7 @@
  * @property heartbeat heartbeats on links to agents.
  * @property demandIntervalMilliseconds least time between two statements of demand on one link.
  * @property demandRefreshMilliseconds least time between two statements that differ in their figures only.
+ * @property demandBytesPerSecond bytes of demand over all links beyond which statements that only refresh wait.
  * @property demandOrganisations organisations that a statement names at most for each pool.
  * @property reconnectGraceMilliseconds time for which a pool is not given up after its last link broke.
  * @property resumeLimitMilliseconds time for which an entry tries to resume an answer.
@@ -21,6 +22,7 @@
     public val heartbeat: HeartbeatTerms = HeartbeatTerms(),
     public val demandIntervalMilliseconds: Long = 20,
     public val demandRefreshMilliseconds: Long = 250,
+    public val demandBytesPerSecond: Double = 2_000.0,
     public val demandOrganisations: Int = 4,
     public val reconnectGraceMilliseconds: Long = 2_000,
     public val resumeLimitMilliseconds: Long = 8_000,
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLink.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLink.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
+import toucanrelay.core.limit.TokenBucket
 import toucanrelay.core.liveness.HeartbeatDetector
 import toucanrelay.core.retry.Backoff
 import toucanrelay.daemon.entry.EntryMeters
@@ -42,10 +43,11 @@
     private val meters: EntryMeters,
     private val channels: ChannelFactory,
     private val listener: LinkListener,
+    demandBudget: TokenBucket,
 ) {
     private val current = MutableStateFlow<AgentSession?>(null)
     private val attempts = MutableStateFlow(0)
-    private val demand = DemandSender(terms, context.clock, meters)
+    private val demand = DemandSender(terms, demandBudget, context.clock, meters)
 
     /** The connection in use; null while there is none. */
     val session: StateFlow<AgentSession?>
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLinks.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLinks.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import toucanrelay.core.identity.InstanceId
+import toucanrelay.core.limit.TokenBucket
 import toucanrelay.daemon.entry.EntryMeters
 import toucanrelay.daemon.entry.EntryTerms
 import toucanrelay.daemon.shell.DaemonContext
@@ -34,6 +35,8 @@
     private val channels: ChannelFactory,
 ) {
     private val links = HashMap<InstanceId, RunningLink>()
+    private val demandBudget =
+        TokenBucket(context.clock, terms.demandBytesPerSecond, terms.demandBytesPerSecond * DEMAND_BURST_SECONDS)
 
     /** Follows the directory until cancelled. */
     suspend fun <T> follow(
@@ -60,12 +63,16 @@
             }
         }
         wanted.filterKeys { it !in links }.forEach { (instance, record) ->
-            val link = AgentLink(record, context, terms, meters, channels, owner)
+            val link = AgentLink(record, context, terms, meters, channels, owner, demandBudget)
             owner.onLinkAdded(link)
             links[instance] = RunningLink(link, scope.launch(ChannelFactory.controlDispatcher) { link.run(owner) })
         }
     }
 
+    private companion object {
+        const val DEMAND_BURST_SECONDS = 2
+    }
+
     private class RunningLink(
         val link: AgentLink,
         val job: Job,
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/DemandSender.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/DemandSender.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import toucanrelay.core.limit.TokenBucket
+import toucanrelay.core.queue.DemandDue
 import toucanrelay.core.queue.DemandPacer
 import toucanrelay.core.queue.DemandStatement
 import toucanrelay.core.time.Clock
@@ -17,9 +19,14 @@
     fun demandFor(link: AgentLink): DemandStatement
 }
 
-/** States demand on one link, coalesced and only when it changed. */
+/**
+ * States demand on one link, coalesced and only when it changed.
+ *
+ * @param budget bytes that all links of the entry may spend on statements that only refresh; the others use it up, too.
+ */
 internal class DemandSender(
     private val terms: EntryTerms,
+    private val budget: TokenBucket,
     private val clock: Clock,
     private val meters: EntryMeters,
 ) {
@@ -46,15 +53,33 @@
         signal.receive()
         if (session.isClosed) return changed()
         val statement = source.demandFor(link)
-        val waitMilliseconds = synchronized(pacer) { pacer.dueInMilliseconds(statement, clock.nowMilliseconds()) }
-        if (waitMilliseconds == 0L && session.send(message(statement))) {
+        when (val due = synchronized(pacer) { pacer.due(statement, clock.nowMilliseconds()) }) {
+            DemandDue.Never -> Unit
+            DemandDue.AtOnce -> send(session, statement, mayWait = false)
+            is DemandDue.Refresh -> if (due.milliseconds > 0 || !send(session, statement, mayWait = true)) changed()
+        }
+        delay(terms.demandIntervalMilliseconds)
+    }
+
+    /** Sends [statement]; false when it may wait and the budget does not allow it yet. */
+    private fun send(session: AgentSession, statement: DemandStatement, mayWait: Boolean): Boolean {
+        val message = message(statement)
+        val bytes = message.serializedSize.toDouble()
+        if (!takeFromBudget(bytes, mayWait)) return false
+        if (session.send(message)) {
             synchronized(pacer) { pacer.stated(statement, clock.nowMilliseconds()) }
             meters.demandSent.increment()
+            meters.demandBytes.increment(bytes)
         }
-        delay(terms.demandIntervalMilliseconds)
-        if (waitMilliseconds != null && waitMilliseconds > 0) changed()
+        return true
     }
 
+    private fun takeFromBudget(bytes: Double, mayWait: Boolean): Boolean =
+        synchronized(budget) {
+            if (!mayWait) budget.take(bytes)
+            !mayWait || budget.tryTake(bytes)
+        }
+
     private fun message(statement: DemandStatement): EntryMessage {
         sequence += 1
         val now = clock.nowMilliseconds()
@@ -64,9 +89,7 @@
             organisations.forEach { ofPool.addOrganisations(it.toWire(now)) }
             demand.addPools(ofPool)
         }
-        val message = EntryMessage.newBuilder().setDemand(demand).build()
-        meters.demandBytes.increment(message.serializedSize.toDouble())
-        return message
+        return EntryMessage.newBuilder().setDemand(demand).build()
     }
 
     private fun toucanrelay.core.queue.OrganisationDemand.toWire(now: Long): OrganisationDemand =
