State demand at once only when an agent lacks work to grant

Cause: a statement names the four organisations of least rank. With 16 or 64 backlogged these change with nearly every grant, so that nearly every statement counted as an addition and was sent at once. Change: at once only when a pool begins or ends to have demand, or all that the agent knew of was granted.

--- a/core/src/main/kotlin/toucanrelay/core/queue/DemandPacer.kt
+++ b/core/src/main/kotlin/toucanrelay/core/queue/DemandPacer.kt
@@ -21,9 +21,9 @@
 /**
  * Decides when demand on one link is stated anew, so that control traffic stays small.
  *
- * A statement that adds an organisation or empties a pool is due at once, and so is one for which the agent has used up
- * what it knew of. One that differs in its figures alone, or drops one organisation of several, is due after a refresh
- * interval: the agent counts its own grants meanwhile, and a grant for an organisation that is gone is declined.
+ * A statement that begins or ends to offer requests for a pool is due at once, and so is one for which the agent has
+ * used up what it knew of. Any other is due after a refresh interval: the agent has work to grant slots to, counts its
+ * own grants meanwhile, and a grant for an organisation that is gone is declined.
  *
  * @param refreshMilliseconds least time between statements that only refresh.
  */
@@ -39,7 +39,7 @@
         val statedAt = statedAtMilliseconds
         return when {
             statement == last && grants == 0 -> DemandDue.Never
-            statedAt == null || !statement.isCoveredBy(last) || grants >= last.waiting -> DemandDue.AtOnce
+            statedAt == null || !statement.hasSamePools(last) || grants >= last.waiting -> DemandDue.AtOnce
             else -> DemandDue.Refresh((statedAt + refreshMilliseconds - nowMilliseconds).coerceAtLeast(0))
         }
     }
--- a/core/src/main/kotlin/toucanrelay/core/queue/DemandStatement.kt
+++ b/core/src/main/kotlin/toucanrelay/core/queue/DemandStatement.kt
@@ -36,12 +36,6 @@
     public val waiting: Int
         get() = pools.values.sumOf { organisations -> organisations.sumOf { it.waiting } }
 
-    /** Whether [other] names the same pools, and in each at least the same organisations. */
-    public fun isCoveredBy(other: DemandStatement): Boolean =
-        pools.keys == other.pools.keys &&
-            pools.all { (pool, organisations) -> other.organisationsOf(pool).containsAll(organisations.names()) }
-
-    private fun organisationsOf(pool: Pool): Set<OrganisationId> = pools.getValue(pool).names()
-
-    private fun List<OrganisationDemand>.names(): Set<OrganisationId> = mapTo(HashSet()) { it.organisation }
+    /** Whether [other] offers requests for the same pools. */
+    public fun hasSamePools(other: DemandStatement): Boolean = pools.keys == other.pools.keys
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryTerms.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/EntryTerms.kt
@@ -8,7 +8,7 @@
  * @property ordering by what waiting organisations are ordered.
  * @property heartbeat heartbeats on links to agents.
  * @property demandIntervalMilliseconds least time between two statements of demand on one link.
- * @property demandRefreshMilliseconds least time between two statements that differ in their figures only.
+ * @property demandRefreshMilliseconds least time between statements that only refresh what the agent knows.
  * @property demandBytesPerSecond bytes of demand over all links beyond which statements that only refresh wait.
  * @property demandOrganisations organisations that a statement names at most for each pool.
  * @property reconnectGraceMilliseconds time for which a pool is not given up after its last link broke.
