--- a/control/src/main/kotlin/toucanrelay/control/Connections.kt
+++ b/control/src/main/kotlin/toucanrelay/control/Connections.kt
@@ -4,8 +4,8 @@
 import io.vertx.core.VertxOptions
 import io.vertx.core.file.FileSystemOptions
 import io.vertx.kotlin.coroutines.coAwait
-import toucanrelay.platform.Platform
-import toucanrelay.platform.httpPlatform
+import toucanrelay.store.Platform
+import toucanrelay.store.httpPlatform
 
 /** What commands reach over the network; opened when first used. */
 internal class Connections {
--- a/control/src/main/kotlin/toucanrelay/control/ControlError.kt
+++ b/control/src/main/kotlin/toucanrelay/control/ControlError.kt
@@ -1,6 +1,6 @@
 package toucanrelay.control
 
-import toucanrelay.platform.bundle.BundleStoreError
+import toucanrelay.store.bundle.BundleStoreError
 
 /** Why a command did not do what it says. */
 public sealed interface ControlError {
--- a/control/src/main/kotlin/toucanrelay/control/InputFile.kt
+++ b/control/src/main/kotlin/toucanrelay/control/InputFile.kt
@@ -5,10 +5,10 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.mapError
-import toucanrelay.platform.bundle.BundleDocument
-import toucanrelay.platform.bundle.BundleError
-import toucanrelay.platform.bundle.BundleReader
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.BundleDocument
+import toucanrelay.store.bundle.BundleError
+import toucanrelay.store.bundle.BundleReader
+import toucanrelay.store.bundle.SignedBundle
 import java.io.IOException
 import java.nio.file.Path
 import kotlin.io.path.readText
--- a/control/src/main/kotlin/toucanrelay/control/KeyFile.kt
+++ b/control/src/main/kotlin/toucanrelay/control/KeyFile.kt
@@ -10,9 +10,9 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import toucanrelay.control.report.PublicKeyEntry
-import toucanrelay.platform.bundle.OperatorKeyPair
-import toucanrelay.platform.bundle.OperatorPrivateKey
-import toucanrelay.platform.bundle.OperatorPublicKey
+import toucanrelay.store.bundle.OperatorKeyPair
+import toucanrelay.store.bundle.OperatorPrivateKey
+import toucanrelay.store.bundle.OperatorPublicKey
 import java.io.IOException
 import java.nio.file.FileAlreadyExistsException
 import java.nio.file.Files
--- a/control/src/main/kotlin/toucanrelay/control/ProcessClient.kt
+++ b/control/src/main/kotlin/toucanrelay/control/ProcessClient.kt
@@ -12,7 +12,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.SignedBundle
 import java.net.ConnectException
 
 /** Address of a process's operators' port. */
--- a/control/src/main/kotlin/toucanrelay/control/command/BundleRollOut.kt
+++ b/control/src/main/kotlin/toucanrelay/control/command/BundleRollOut.kt
@@ -18,8 +18,8 @@
 import toucanrelay.control.report.VersionReport
 import toucanrelay.control.toControlError
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.bundle.BundleStore
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.BundleStore
+import toucanrelay.store.bundle.SignedBundle
 import java.nio.file.Path
 
 /** Puts a signed bundle in force through the table service, or on one process that is cut off from it. */
--- a/control/src/main/kotlin/toucanrelay/control/command/BundleSign.kt
+++ b/control/src/main/kotlin/toucanrelay/control/command/BundleSign.kt
@@ -16,8 +16,8 @@
 import toucanrelay.control.report.VersionOutcome
 import toucanrelay.control.report.VersionReport
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.bundle.BundleSigner
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.BundleSigner
+import toucanrelay.store.bundle.SignedBundle
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
--- a/control/src/main/kotlin/toucanrelay/control/command/BundleStatus.kt
+++ b/control/src/main/kotlin/toucanrelay/control/command/BundleStatus.kt
@@ -12,9 +12,9 @@
 import toucanrelay.control.report.DocumentReport
 import toucanrelay.control.report.Report
 import toucanrelay.control.toControlError
-import toucanrelay.platform.bundle.BundleReader
-import toucanrelay.platform.bundle.BundleStore
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.BundleReader
+import toucanrelay.store.bundle.BundleStore
+import toucanrelay.store.bundle.SignedBundle
 
 /** Shows the bundle in force. */
 internal class BundleStatus : PlatformCommand() {
--- a/control/src/main/kotlin/toucanrelay/control/command/FailureDomainChange.kt
+++ b/control/src/main/kotlin/toucanrelay/control/command/FailureDomainChange.kt
@@ -17,14 +17,14 @@
 import toucanrelay.control.report.VersionReport
 import toucanrelay.control.toControlError
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.bundle.BundleDocument
-import toucanrelay.platform.bundle.BundleReader
-import toucanrelay.platform.bundle.BundleSigner
-import toucanrelay.platform.bundle.BundleStore
-import toucanrelay.platform.bundle.BundleVerifier
-import toucanrelay.platform.bundle.OperatorKeyPair
-import toucanrelay.platform.bundle.OperatorPublicKey
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.BundleDocument
+import toucanrelay.store.bundle.BundleReader
+import toucanrelay.store.bundle.BundleSigner
+import toucanrelay.store.bundle.BundleStore
+import toucanrelay.store.bundle.BundleVerifier
+import toucanrelay.store.bundle.OperatorKeyPair
+import toucanrelay.store.bundle.OperatorPublicKey
+import toucanrelay.store.bundle.SignedBundle
 import java.nio.file.Path
 
 /**
--- a/control/src/main/kotlin/toucanrelay/control/command/FleetStatus.kt
+++ b/control/src/main/kotlin/toucanrelay/control/command/FleetStatus.kt
@@ -20,8 +20,8 @@
 import toucanrelay.control.report.ProcessState
 import toucanrelay.control.report.Report
 import toucanrelay.control.toControlError
-import toucanrelay.platform.bundle.BundleStore
-import toucanrelay.platform.instances.InstanceRecord
+import toucanrelay.store.bundle.BundleStore
+import toucanrelay.store.instances.InstanceRecord
 
 /** Shows the processes of the fleet: those on the platform's list, and those whose operators' ports are given. */
 internal class FleetStatus : PlatformCommand() {
--- a/control/src/main/kotlin/toucanrelay/control/command/KeyGenerate.kt
+++ b/control/src/main/kotlin/toucanrelay/control/command/KeyGenerate.kt
@@ -11,7 +11,7 @@
 import toucanrelay.control.report.KeyReport
 import toucanrelay.control.report.PublicKeyEntry
 import toucanrelay.control.report.Report
-import toucanrelay.platform.bundle.OperatorKeyPair
+import toucanrelay.store.bundle.OperatorKeyPair
 import java.nio.file.Path
 
 /** Makes an operator's key: the file stays with the operator, the public half goes into every daemon's settings. */
--- a/control/src/main/kotlin/toucanrelay/control/report/BundleReports.kt
+++ b/control/src/main/kotlin/toucanrelay/control/report/BundleReports.kt
@@ -4,7 +4,7 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
-import toucanrelay.platform.bundle.BundleDocument
+import toucanrelay.store.bundle.BundleDocument
 
 /** A valid document. */
 @Serializable
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/AgentRole.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/AgentRole.kt
@@ -32,7 +32,7 @@
 import toucanrelay.daemon.agent.work.WorkDesk
 import toucanrelay.daemon.shell.DaemonContext
 import toucanrelay.daemon.shell.Role
-import toucanrelay.platform.instances.InstanceState
+import toucanrelay.store.instances.InstanceState
 import toucanrelay.wire.ServeRequest
 
 /**
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/lease/LeaseDocument.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/lease/LeaseDocument.kt
@@ -10,7 +10,7 @@
 import toucanrelay.core.lease.LeaseRecord
 import toucanrelay.core.lease.LeaseRow
 import toucanrelay.core.lease.LeaseToken
-import toucanrelay.platform.table.Row
+import toucanrelay.store.table.Row
 
 private val leaseJson = Json { ignoreUnknownKeys = true }
 
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/lease/LeaseKeeper.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/lease/LeaseKeeper.kt
@@ -12,12 +12,12 @@
 import toucanrelay.core.lease.LeaseTerms
 import toucanrelay.core.lease.LeaseToken
 import toucanrelay.core.time.Clock
-import toucanrelay.platform.PlatformError
-import toucanrelay.platform.table.Row
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.RowVersion
-import toucanrelay.platform.table.TableService
-import toucanrelay.platform.table.WriteCondition
+import toucanrelay.store.PlatformError
+import toucanrelay.store.table.Row
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.RowVersion
+import toucanrelay.store.table.TableService
+import toucanrelay.store.table.WriteCondition
 import java.util.UUID
 
 /** Carries out what a [LeaseSeeker] decides, on the platform's table service; used by one coroutine. */
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/ModelCallParser.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/ModelCallParser.kt
@@ -14,8 +14,8 @@
 import kotlinx.serialization.json.longOrNull
 import toucanrelay.core.identity.Pool
 import toucanrelay.core.refusal.RefusalReason
-import toucanrelay.platform.json.MOST_JSON_NESTING
-import toucanrelay.platform.json.isJsonNestedDeeperThan
+import toucanrelay.store.json.MOST_JSON_NESTING
+import toucanrelay.store.json.isJsonNestedDeeperThan
 
 /**
  * What the relay reads of a chat completion.
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLink.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLink.kt
@@ -22,7 +22,7 @@
 import toucanrelay.daemon.entry.EntryMeters
 import toucanrelay.daemon.entry.EntryTerms
 import toucanrelay.daemon.shell.DaemonContext
-import toucanrelay.platform.instances.InstanceRecord
+import toucanrelay.store.instances.InstanceRecord
 import toucanrelay.wire.AgentLinkGrpcKt.AgentLinkCoroutineStub
 import toucanrelay.wire.AgentMessage
 import toucanrelay.wire.EntryHello
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLinks.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/link/AgentLinks.kt
@@ -8,8 +8,8 @@
 import toucanrelay.daemon.entry.EntryMeters
 import toucanrelay.daemon.entry.EntryTerms
 import toucanrelay.daemon.shell.DaemonContext
-import toucanrelay.platform.instances.InstanceRecord
-import toucanrelay.platform.instances.InstanceState
+import toucanrelay.store.instances.InstanceRecord
+import toucanrelay.store.instances.InstanceState
 
 /** Is told which agents the entry links to. */
 internal interface LinkMembership {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BundleCodec.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BundleCodec.kt
@@ -8,8 +8,8 @@
 import com.google.protobuf.ByteString
 import kotlinx.serialization.json.JsonObject
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.bundle.BundlePatch
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.BundlePatch
+import toucanrelay.store.bundle.SignedBundle
 import toucanrelay.wire.BundleUpdate
 import java.io.ByteArrayOutputStream
 import java.io.IOException
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BundlePoller.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/BundlePoller.kt
@@ -6,7 +6,7 @@
 import kotlinx.coroutines.delay
 import org.tinylog.kotlin.Logger
 import toucanrelay.core.distribution.PollSchedule
-import toucanrelay.platform.bundle.BundleStore
+import toucanrelay.store.bundle.BundleStore
 import kotlin.random.Random
 
 /** Reads the bundle from the table service at the pace that keeps the fleet's reads within their rate. */
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/FleetDirectory.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/FleetDirectory.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.coroutines.flow.StateFlow
-import toucanrelay.platform.instances.InstanceRecord
+import toucanrelay.store.instances.InstanceRecord
 
 /** The instances of the fleet as this process knows them: the platform's list, corrected by what links show. */
 public interface FleetDirectory {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/FleetNode.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/FleetNode.kt
@@ -25,12 +25,12 @@
 import toucanrelay.core.linking.LinkTerms
 import toucanrelay.core.time.Clock
 import toucanrelay.daemon.settings.DaemonSettings
-import toucanrelay.platform.bundle.BundleError
-import toucanrelay.platform.bundle.BundleStore
-import toucanrelay.platform.bundle.BundleVerifier
-import toucanrelay.platform.bundle.SignedBundle
-import toucanrelay.platform.instances.InstanceList
-import toucanrelay.platform.table.TableService
+import toucanrelay.store.bundle.BundleError
+import toucanrelay.store.bundle.BundleStore
+import toucanrelay.store.bundle.BundleVerifier
+import toucanrelay.store.bundle.SignedBundle
+import toucanrelay.store.instances.InstanceList
+import toucanrelay.store.table.TableService
 import kotlin.random.Random
 
 /**
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/HeldBundles.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/HeldBundles.kt
@@ -16,9 +16,9 @@
 import toucanrelay.core.distribution.VersionTerms
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.core.time.Clock
-import toucanrelay.platform.bundle.BundleError
-import toucanrelay.platform.bundle.BundleVerifier
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.BundleError
+import toucanrelay.store.bundle.BundleVerifier
+import toucanrelay.store.bundle.SignedBundle
 import toucanrelay.wire.BundleUpdate
 import toucanrelay.wire.BundleWanted
 import toucanrelay.wire.Heartbeat
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/InstanceDirectory.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/InstanceDirectory.kt
@@ -18,10 +18,10 @@
 import toucanrelay.core.linking.LinkableAgent
 import toucanrelay.core.membership.LeavingMarks
 import toucanrelay.core.time.Clock
-import toucanrelay.platform.instances.InstanceList
-import toucanrelay.platform.instances.InstanceRecord
-import toucanrelay.platform.instances.InstanceRole
-import toucanrelay.platform.instances.InstanceState
+import toucanrelay.store.instances.InstanceList
+import toucanrelay.store.instances.InstanceRecord
+import toucanrelay.store.instances.InstanceRole
+import toucanrelay.store.instances.InstanceState
 
 /** The instances from the platform's list, with leaving marks that other entries saw, and the links planned from them. */
 internal class InstanceDirectory(
--- a/daemon/src/main/kotlin/toucanrelay/daemon/fleet/ParentConnector.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/fleet/ParentConnector.kt
@@ -19,8 +19,8 @@
 import toucanrelay.core.exchange.ExchangeTree
 import toucanrelay.core.identity.ProcessRun
 import toucanrelay.core.membership.Suspicions
-import toucanrelay.platform.instances.InstanceRecord
-import toucanrelay.platform.instances.InstanceState
+import toucanrelay.store.instances.InstanceRecord
+import toucanrelay.store.instances.InstanceState
 import toucanrelay.wire.EntryExchangeGrpcKt
 import toucanrelay.wire.ExchangeMessage
 import kotlin.coroutines.resume
--- a/daemon/src/main/kotlin/toucanrelay/daemon/order/OrderSettlement.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/order/OrderSettlement.kt
@@ -5,8 +5,8 @@
 import toucanrelay.core.order.ClaimToken
 import toucanrelay.core.order.OrderRecord
 import toucanrelay.core.order.OrderRules
-import toucanrelay.platform.PlatformError
-import toucanrelay.platform.table.RowKey
+import toucanrelay.store.PlatformError
+import toucanrelay.store.table.RowKey
 
 /** Moves the record of one claim to its end, by reading it and writing on the condition that it is unchanged. */
 internal class OrderSettlement(
--- a/daemon/src/main/kotlin/toucanrelay/daemon/order/OrderTable.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/order/OrderTable.kt
@@ -3,11 +3,11 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
 import toucanrelay.core.order.OrderRecord
-import toucanrelay.platform.PlatformError
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.RowVersion
-import toucanrelay.platform.table.TableService
-import toucanrelay.platform.table.WriteCondition
+import toucanrelay.store.PlatformError
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.RowVersion
+import toucanrelay.store.table.TableService
+import toucanrelay.store.table.WriteCondition
 import java.security.MessageDigest
 
 /**
--- a/daemon/src/main/kotlin/toucanrelay/daemon/order/TableOrderDesk.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/order/TableOrderDesk.kt
@@ -17,9 +17,9 @@
 import toucanrelay.core.time.Clock
 import toucanrelay.core.time.EpochClock
 import toucanrelay.core.time.MonotonicClock
-import toucanrelay.platform.PlatformError
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.TableService
+import toucanrelay.store.PlatformError
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.TableService
 import java.util.UUID
 
 /**
--- a/daemon/src/main/kotlin/toucanrelay/daemon/settings/OperatorKeys.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/settings/OperatorKeys.kt
@@ -1,7 +1,7 @@
 package toucanrelay.daemon.settings
 
 import com.github.michaelbull.result.getOrElse
-import toucanrelay.platform.bundle.OperatorPublicKey
+import toucanrelay.store.bundle.OperatorPublicKey
 
 /**
  * The operators' keys, decoded.
--- a/daemon/src/main/kotlin/toucanrelay/daemon/settings/SettingsError.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/settings/SettingsError.kt
@@ -1,7 +1,7 @@
 package toucanrelay.daemon.settings
 
 import kotlinx.collections.immutable.PersistentList
-import toucanrelay.platform.json.JsonProblem
+import toucanrelay.store.json.JsonProblem
 
 /** Why settings are not accepted. */
 public sealed interface SettingsError {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/settings/SettingsLoader.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/settings/SettingsLoader.kt
@@ -8,8 +8,8 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
-import toucanrelay.platform.json.CheckedObject
-import toucanrelay.platform.json.JsonProblems
+import toucanrelay.store.json.CheckedObject
+import toucanrelay.store.json.JsonProblems
 import java.io.IOException
 import java.nio.file.Path
 import kotlin.io.path.readText
--- a/daemon/src/main/kotlin/toucanrelay/daemon/settings/SettingsReader.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/settings/SettingsReader.kt
@@ -2,9 +2,9 @@
 
 import com.github.michaelbull.result.onFailure
 import io.netty.util.NetUtil
-import toucanrelay.platform.bundle.OperatorPublicKey
-import toucanrelay.platform.json.CheckedObject
-import toucanrelay.platform.json.TextRule
+import toucanrelay.store.bundle.OperatorPublicKey
+import toucanrelay.store.json.CheckedObject
+import toucanrelay.store.json.TextRule
 import java.net.URI
 import java.net.URISyntaxException
 
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/BundleOffer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/BundleOffer.kt
@@ -7,8 +7,8 @@
 import com.github.michaelbull.result.mapError
 import toucanrelay.core.bundle.BundleVersion
 import toucanrelay.daemon.fleet.FleetNode
-import toucanrelay.platform.bundle.BundleError
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.BundleError
+import toucanrelay.store.bundle.SignedBundle
 
 /** Why a bundle that an operator handed to this process is not in force. */
 internal sealed interface OfferError {
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/Daemon.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/Daemon.kt
@@ -22,8 +22,8 @@
 import toucanrelay.daemon.fleet.FleetNode
 import toucanrelay.daemon.settings.DaemonSettings
 import toucanrelay.daemon.settings.publicKeys
-import toucanrelay.platform.bundle.BundleVerifier
-import toucanrelay.platform.httpPlatform
+import toucanrelay.store.bundle.BundleVerifier
+import toucanrelay.store.httpPlatform
 
 /**
  * One process of the system: an entry or an agent, as its settings say.
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/DaemonContext.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/DaemonContext.kt
@@ -11,7 +11,7 @@
 import toucanrelay.daemon.fleet.ServiceLedger
 import toucanrelay.daemon.order.OrderDesk
 import toucanrelay.daemon.settings.DaemonSettings
-import toucanrelay.platform.table.TableService
+import toucanrelay.store.table.TableService
 
 /**
  * What the parts of one daemon share; immutable, made once at the start.
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/DaemonFoundation.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/DaemonFoundation.kt
@@ -6,8 +6,8 @@
 import toucanrelay.core.identity.ProcessRun
 import toucanrelay.core.time.Clock
 import toucanrelay.daemon.settings.DaemonSettings
-import toucanrelay.platform.Platform
-import toucanrelay.platform.bundle.BundleVerifier
+import toucanrelay.store.Platform
+import toucanrelay.store.bundle.BundleVerifier
 
 /**
  * What a daemon holds before its parts are built; immutable.
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/OperatorsServer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/OperatorsServer.kt
@@ -10,7 +10,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.serialization.json.Json
 import toucanrelay.daemon.settings.ListenAddress
-import toucanrelay.platform.bundle.BundleError
+import toucanrelay.store.bundle.BundleError
 
 /** Serves metrics, health and bundles that operators hand over directly. */
 internal class OperatorsServer(
--- a/daemon/src/test/kotlin/toucanrelay/daemon/agent/AgentFixture.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/agent/AgentFixture.kt
@@ -32,7 +32,7 @@
 import toucanrelay.daemon.settings.DaemonSettings
 import toucanrelay.daemon.settings.ListenAddress
 import toucanrelay.daemon.shell.DaemonContext
-import toucanrelay.platform.table.TableService
+import toucanrelay.store.table.TableService
 import toucanrelay.wire.AgentLinkGrpcKt.AgentLinkCoroutineStub
 import toucanrelay.wire.ProcessIdentity
 import kotlin.random.Random
--- a/daemon/src/test/kotlin/toucanrelay/daemon/agent/AgentModelOrdersTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/agent/AgentModelOrdersTest.kt
@@ -15,10 +15,10 @@
 import toucanrelay.daemon.agent.lease.toDocument
 import toucanrelay.daemon.agent.lease.toLeaseRow
 import toucanrelay.daemon.order.UnreliableTable
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.WriteCondition
 import toucanrelay.standins.EngineSettings
 import toucanrelay.standins.ModelEngine
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.WriteCondition
 import kotlin.random.Random
 
 private val AUDIT = Pool.ofModel("audit")
--- a/daemon/src/test/kotlin/toucanrelay/daemon/agent/AgentServiceStateTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/agent/AgentServiceStateTest.kt
@@ -12,12 +12,12 @@
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.RegionId
 import toucanrelay.core.refusal.RefusalReason
-import toucanrelay.platform.instances.InstanceRecord
-import toucanrelay.platform.instances.InstanceRole
-import toucanrelay.platform.instances.InstanceState
 import toucanrelay.standins.EngineSettings
 import toucanrelay.standins.EngineTiming
 import toucanrelay.standins.ModelEngine
+import toucanrelay.store.instances.InstanceRecord
+import toucanrelay.store.instances.InstanceRole
+import toucanrelay.store.instances.InstanceState
 import toucanrelay.wire.ServeEvent
 
 /** A saturated agent: two requests run and one is staged. */
--- a/daemon/src/test/kotlin/toucanrelay/daemon/agent/FakeFleet.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/agent/FakeFleet.kt
@@ -16,7 +16,7 @@
 import toucanrelay.daemon.order.OrderDesk
 import toucanrelay.daemon.order.OrderKey
 import toucanrelay.daemon.order.OrderStart
-import toucanrelay.platform.instances.InstanceRecord
+import toucanrelay.store.instances.InstanceRecord
 import toucanrelay.wire.BundleUpdate
 import toucanrelay.wire.BundleWanted
 import toucanrelay.wire.Heartbeat
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryRoleTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/EntryRoleTest.kt
@@ -15,7 +15,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.future.await
 import toucanrelay.core.identity.OrganisationId
-import toucanrelay.platform.instances.InstanceState
+import toucanrelay.store.instances.InstanceState
 import kotlin.time.Duration.Companion.seconds
 
 private const val EVENTS = "id: 1\ndata: {}\n\nid: 2\ndata: {}\n\n"
--- a/daemon/src/test/kotlin/toucanrelay/daemon/examples/ExamplesTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/examples/ExamplesTest.kt
@@ -9,9 +9,9 @@
 import io.kotest.matchers.shouldBe
 import toucanrelay.daemon.settings.DaemonSettings
 import toucanrelay.daemon.settings.SettingsLoader
-import toucanrelay.platform.bundle.BundleDocument
-import toucanrelay.platform.bundle.BundleReader
-import toucanrelay.platform.bundle.TargetDocument
+import toucanrelay.store.bundle.BundleDocument
+import toucanrelay.store.bundle.BundleReader
+import toucanrelay.store.bundle.TargetDocument
 import java.nio.file.Path
 import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.name
--- a/daemon/src/test/kotlin/toucanrelay/daemon/fleet/FleetNodeTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/FleetNodeTest.kt
@@ -8,8 +8,8 @@
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.core.time.Clock
 import toucanrelay.core.time.MonotonicClock
-import toucanrelay.platform.instances.InstanceState
 import toucanrelay.standins.CuttableLink
+import toucanrelay.store.instances.InstanceState
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.seconds
 
--- a/daemon/src/test/kotlin/toucanrelay/daemon/fleet/HeldBundlesTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/HeldBundlesTest.kt
@@ -7,10 +7,10 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import toucanrelay.core.bundle.BundleVersion
 import toucanrelay.core.time.ManualClock
-import toucanrelay.platform.bundle.BundleSigner
-import toucanrelay.platform.bundle.BundleVerifier
-import toucanrelay.platform.bundle.OperatorKeyPair
-import toucanrelay.platform.bundle.SignedBundle
+import toucanrelay.store.bundle.BundleSigner
+import toucanrelay.store.bundle.BundleVerifier
+import toucanrelay.store.bundle.OperatorKeyPair
+import toucanrelay.store.bundle.SignedBundle
 import toucanrelay.wire.BundleWanted
 import toucanrelay.wire.Heartbeat
 
--- a/daemon/src/test/kotlin/toucanrelay/daemon/fleet/SwitchablePlatform.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/fleet/SwitchablePlatform.kt
@@ -5,14 +5,14 @@
 import com.github.michaelbull.result.Result
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
-import toucanrelay.platform.PlatformError
-import toucanrelay.platform.instances.InstanceList
-import toucanrelay.platform.instances.InstanceRecord
-import toucanrelay.platform.table.Row
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.RowVersion
-import toucanrelay.platform.table.TableService
-import toucanrelay.platform.table.WriteCondition
+import toucanrelay.store.PlatformError
+import toucanrelay.store.instances.InstanceList
+import toucanrelay.store.instances.InstanceRecord
+import toucanrelay.store.table.Row
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.RowVersion
+import toucanrelay.store.table.TableService
+import toucanrelay.store.table.WriteCondition
 import java.util.concurrent.ConcurrentHashMap
 
 /** Rows and instances in memory, shared by the processes of a test. */
--- a/daemon/src/test/kotlin/toucanrelay/daemon/order/UnreliableTable.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/order/UnreliableTable.kt
@@ -6,12 +6,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.yield
-import toucanrelay.platform.PlatformError
-import toucanrelay.platform.table.Row
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.RowVersion
-import toucanrelay.platform.table.TableService
-import toucanrelay.platform.table.WriteCondition
+import toucanrelay.store.PlatformError
+import toucanrelay.store.table.Row
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.RowVersion
+import toucanrelay.store.table.TableService
+import toucanrelay.store.table.WriteCondition
 import kotlin.random.Random
 
 /** A table service in memory that delays, refuses and loses answers at random, and lets lost writes land late. */
--- a/daemon/src/test/kotlin/toucanrelay/daemon/settings/SettingsLoaderTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/settings/SettingsLoaderTest.kt
@@ -11,8 +11,8 @@
 import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.serialization.json.Json
-import toucanrelay.platform.bundle.OperatorKeyPair
-import toucanrelay.platform.json.JsonProblem
+import toucanrelay.store.bundle.OperatorKeyPair
+import toucanrelay.store.json.JsonProblem
 
 class SettingsLoaderTest :
     DescribeSpec({
--- a/daemon/src/test/kotlin/toucanrelay/daemon/shell/CutOffRegionTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/shell/CutOffRegionTest.kt
@@ -6,11 +6,11 @@
 import io.kotest.matchers.string.shouldContain
 import kotlinx.coroutines.withTimeout
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.bundle.BundleDocument
-import toucanrelay.platform.bundle.FailureDomainDocument
-import toucanrelay.platform.bundle.TargetDocument
 import toucanrelay.standins.ModelEngine
 import toucanrelay.standins.PlatformFaults
+import toucanrelay.store.bundle.BundleDocument
+import toucanrelay.store.bundle.FailureDomainDocument
+import toucanrelay.store.bundle.TargetDocument
 import kotlin.time.Duration.Companion.seconds
 
 class CutOffRegionTest :
--- a/daemon/src/test/kotlin/toucanrelay/daemon/shell/EmbeddedFleet.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/shell/EmbeddedFleet.kt
@@ -9,14 +9,14 @@
 import toucanrelay.daemon.settings.EntrySettings
 import toucanrelay.daemon.settings.ListenAddress
 import toucanrelay.daemon.settings.OperatorKey
-import toucanrelay.platform.bundle.BundleDocument
-import toucanrelay.platform.bundle.BundleSigner
-import toucanrelay.platform.bundle.BundleStore
-import toucanrelay.platform.bundle.OperatorKeyPair
-import toucanrelay.platform.httpPlatform
 import toucanrelay.standins.ListedInstance
 import toucanrelay.standins.ListedRole
 import toucanrelay.standins.PlatformStandIn
+import toucanrelay.store.bundle.BundleDocument
+import toucanrelay.store.bundle.BundleSigner
+import toucanrelay.store.bundle.BundleStore
+import toucanrelay.store.bundle.OperatorKeyPair
+import toucanrelay.store.httpPlatform
 
 /** A platform stand-in and real daemons in one process. */
 class EmbeddedFleet {
--- a/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetBundle.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetBundle.kt
@@ -1,11 +1,11 @@
 package toucanrelay.measure.fleet
 
-import toucanrelay.platform.bundle.BundleDocument
-import toucanrelay.platform.bundle.FailureDomainDocument
-import toucanrelay.platform.bundle.LimitsDocument
-import toucanrelay.platform.bundle.OrganisationDocument
-import toucanrelay.platform.bundle.ServiceDocument
-import toucanrelay.platform.bundle.TargetDocument
+import toucanrelay.store.bundle.BundleDocument
+import toucanrelay.store.bundle.FailureDomainDocument
+import toucanrelay.store.bundle.LimitsDocument
+import toucanrelay.store.bundle.OrganisationDocument
+import toucanrelay.store.bundle.ServiceDocument
+import toucanrelay.store.bundle.TargetDocument
 import java.security.MessageDigest
 import java.util.HexFormat
 
--- a/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetOperator.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/FleetOperator.kt
@@ -2,11 +2,11 @@
 
 import com.github.michaelbull.result.getOrThrow
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.bundle.BundleDocument
-import toucanrelay.platform.bundle.BundleSigner
-import toucanrelay.platform.bundle.BundleStore
-import toucanrelay.platform.bundle.FailureDomainDocument
-import toucanrelay.platform.bundle.OperatorKeyPair
+import toucanrelay.store.bundle.BundleDocument
+import toucanrelay.store.bundle.BundleSigner
+import toucanrelay.store.bundle.BundleStore
+import toucanrelay.store.bundle.FailureDomainDocument
+import toucanrelay.store.bundle.OperatorKeyPair
 
 /** Says that the platform did not take an operator's bundle. */
 public class RollOutFailed(
--- a/measure/src/main/kotlin/toucanrelay/measure/fleet/NodeStarter.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/NodeStarter.kt
@@ -8,7 +8,6 @@
 import toucanrelay.daemon.settings.ListenAddress
 import toucanrelay.daemon.settings.OperatorKey
 import toucanrelay.daemon.shell.Daemon
-import toucanrelay.platform.bundle.OperatorPublicKey
 import toucanrelay.standins.ColdStart
 import toucanrelay.standins.CuttableLink
 import toucanrelay.standins.EngineSettings
@@ -20,6 +19,7 @@
 import toucanrelay.standins.PlainService
 import toucanrelay.standins.PlainServiceSettings
 import toucanrelay.standins.PlatformStandIn
+import toucanrelay.store.bundle.OperatorPublicKey
 
 private const val LOOPBACK = "127.0.0.1"
 private const val NOTICE_MILLISECONDS = 500L
--- a/measure/src/main/kotlin/toucanrelay/measure/fleet/RunningFleet.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/fleet/RunningFleet.kt
@@ -11,12 +11,12 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import toucanrelay.measure.load.Endpoint
-import toucanrelay.platform.Platform
-import toucanrelay.platform.bundle.BundleStore
-import toucanrelay.platform.bundle.OperatorKeyPair
-import toucanrelay.platform.httpPlatform
 import toucanrelay.standins.ListedState
 import toucanrelay.standins.PlatformStandIn
+import toucanrelay.store.Platform
+import toucanrelay.store.bundle.BundleStore
+import toucanrelay.store.bundle.OperatorKeyPair
+import toucanrelay.store.httpPlatform
 
 private const val START_LIMIT_MILLISECONDS = 60_000L
 private const val LINK_SETTLING_MILLISECONDS = 500L
--- a/measure/src/main/kotlin/toucanrelay/measure/scenario/BundleScenario.kt
+++ b/measure/src/main/kotlin/toucanrelay/measure/scenario/BundleScenario.kt
@@ -7,8 +7,8 @@
 import toucanrelay.measure.result.ScenarioSettings
 import toucanrelay.measure.result.SlopePoint
 import toucanrelay.measure.result.fitSlope
-import toucanrelay.platform.bundle.BundleDocument
-import toucanrelay.platform.bundle.WeightsDocument
+import toucanrelay.store.bundle.BundleDocument
+import toucanrelay.store.bundle.WeightsDocument
 
 private const val TARGET_SECONDS = 8.0
 private const val ROLL_OUTS = 3
--- a/platform/src/main/kotlin/toucanrelay/platform/HttpPlatform.kt
+++ b/store/src/main/kotlin/toucanrelay/store/HttpPlatform.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform
+package toucanrelay.store
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -10,12 +10,12 @@
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.toPersistentList
 import kotlinx.serialization.SerializationException
-import toucanrelay.platform.instances.InstanceListAnswer
-import toucanrelay.platform.instances.InstanceRecord
-import toucanrelay.platform.table.Row
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.RowVersion
-import toucanrelay.platform.table.WriteCondition
+import toucanrelay.store.instances.InstanceListAnswer
+import toucanrelay.store.instances.InstanceRecord
+import toucanrelay.store.table.Row
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.RowVersion
+import toucanrelay.store.table.WriteCondition
 
 /** The platform's services over HTTP. */
 internal class HttpPlatform(
--- a/platform/src/main/kotlin/toucanrelay/platform/Platform.kt
+++ b/store/src/main/kotlin/toucanrelay/store/Platform.kt
@@ -1,9 +1,9 @@
-package toucanrelay.platform
+package toucanrelay.store
 
 import io.vertx.core.Vertx
-import toucanrelay.platform.instances.InstanceList
-import toucanrelay.platform.objects.ObjectStore
-import toucanrelay.platform.table.TableService
+import toucanrelay.store.instances.InstanceList
+import toucanrelay.store.objects.ObjectStore
+import toucanrelay.store.table.TableService
 
 /** All services of the platform, reached through one client. */
 public interface Platform :
--- a/platform/src/main/kotlin/toucanrelay/platform/PlatformError.kt
+++ b/store/src/main/kotlin/toucanrelay/store/PlatformError.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform
+package toucanrelay.store
 
 /** Why a call to the platform gave no answer to build on. */
 public sealed interface PlatformError {
--- a/platform/src/main/kotlin/toucanrelay/platform/PlatformHttpClient.kt
+++ b/store/src/main/kotlin/toucanrelay/store/PlatformHttpClient.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform
+package toucanrelay.store
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/BundleConversion.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/BundleConversion.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.toPersistentMap
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/BundleDocument.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/BundleDocument.kt
@@ -1,10 +1,10 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonObject
-import toucanrelay.platform.json.CanonicalJson
+import toucanrelay.store.json.CanonicalJson
 
 /**
  * A bundle as it stands in its JSON document, without version and signature.
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/BundleError.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/BundleError.kt
@@ -1,7 +1,7 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import kotlinx.collections.immutable.PersistentList
-import toucanrelay.platform.json.JsonProblem
+import toucanrelay.store.json.JsonProblem
 
 /** Why a bundle is not accepted. */
 public sealed interface BundleError {
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/BundlePatch.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/BundlePatch.kt
@@ -1,10 +1,10 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import com.github.michaelbull.result.Result
 import kotlinx.serialization.json.JsonObject
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.json.CanonicalJson
-import toucanrelay.platform.json.MergePatch
+import toucanrelay.store.json.CanonicalJson
+import toucanrelay.store.json.MergePatch
 
 /**
  * What changed between two signed bundles, as a JSON merge patch (RFC 7396).
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/BundleReader.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/BundleReader.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -8,12 +8,12 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
-import toucanrelay.platform.json.CheckedObject
-import toucanrelay.platform.json.JsonProblems
-import toucanrelay.platform.json.MOST_JSON_NESTING
-import toucanrelay.platform.json.NumberRule
-import toucanrelay.platform.json.TextRule
-import toucanrelay.platform.json.isJsonNestedDeeperThan
+import toucanrelay.store.json.CheckedObject
+import toucanrelay.store.json.JsonProblems
+import toucanrelay.store.json.MOST_JSON_NESTING
+import toucanrelay.store.json.NumberRule
+import toucanrelay.store.json.TextRule
+import toucanrelay.store.json.isJsonNestedDeeperThan
 
 /** Reads a bundle document and reports everything in it that is not allowed. */
 public object BundleReader {
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/BundleRules.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/BundleRules.kt
@@ -1,7 +1,7 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import toucanrelay.core.identity.Pool
-import toucanrelay.platform.json.JsonProblems
+import toucanrelay.store.json.JsonProblems
 
 /** Checks what the parts of a bundle document say about each other. */
 internal object BundleRules {
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/BundleSigner.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/BundleSigner.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import toucanrelay.core.bundle.BundleVersion
 import java.security.Signature
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/BundleStore.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/BundleStore.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -10,11 +10,11 @@
 import com.github.michaelbull.result.mapError
 import kotlinx.coroutines.delay
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.PlatformError
-import toucanrelay.platform.table.Row
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.TableService
-import toucanrelay.platform.table.WriteCondition
+import toucanrelay.store.PlatformError
+import toucanrelay.store.table.Row
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.TableService
+import toucanrelay.store.table.WriteCondition
 
 /** Why a bundle could not be read from or rolled out to the table service. */
 public sealed interface BundleStoreError {
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/BundleVerifier.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/BundleVerifier.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/platform/src/main/kotlin/toucanrelay/platform/bundle/SignedBundle.kt
+++ b/store/src/main/kotlin/toucanrelay/store/bundle/SignedBundle.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
@@ -8,10 +8,10 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.json.CanonicalJson
-import toucanrelay.platform.json.CheckedObject
-import toucanrelay.platform.json.JsonProblems
-import toucanrelay.platform.json.TextRule
+import toucanrelay.store.json.CanonicalJson
+import toucanrelay.store.json.CheckedObject
+import toucanrelay.store.json.JsonProblems
+import toucanrelay.store.json.TextRule
 
 /**
  * A bundle document that an operator signed off as one version.
--- a/platform/src/main/kotlin/toucanrelay/platform/instances/InstanceList.kt
+++ b/store/src/main/kotlin/toucanrelay/store/instances/InstanceList.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.instances
+package toucanrelay.store.instances
 
 import com.github.michaelbull.result.Result
 import kotlinx.collections.immutable.PersistentList
@@ -6,7 +6,7 @@
 import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.RegionId
 import toucanrelay.core.identity.TargetId
-import toucanrelay.platform.PlatformError
+import toucanrelay.store.PlatformError
 
 /** What a process does. */
 public enum class InstanceRole {
--- a/platform/src/main/kotlin/toucanrelay/platform/instances/InstanceListAnswer.kt
+++ b/store/src/main/kotlin/toucanrelay/store/instances/InstanceListAnswer.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.instances
+package toucanrelay.store.instances
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
--- a/platform/src/main/kotlin/toucanrelay/platform/json/CheckedObject.kt
+++ b/store/src/main/kotlin/toucanrelay/store/json/CheckedObject.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.json
+package toucanrelay.store.json
 
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
--- a/platform/src/main/kotlin/toucanrelay/platform/json/JsonNesting.kt
+++ b/store/src/main/kotlin/toucanrelay/store/json/JsonNesting.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.json
+package toucanrelay.store.json
 
 /** Levels of nesting that a document from outside may have. */
 public const val MOST_JSON_NESTING: Int = 64
--- a/platform/src/main/kotlin/toucanrelay/platform/json/JsonProblem.kt
+++ b/store/src/main/kotlin/toucanrelay/store/json/JsonProblem.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.json
+package toucanrelay.store.json
 
 /**
  * A value of a JSON document that is not allowed.
--- a/platform/src/main/kotlin/toucanrelay/platform/objects/ObjectStore.kt
+++ b/store/src/main/kotlin/toucanrelay/store/objects/ObjectStore.kt
@@ -1,7 +1,7 @@
-package toucanrelay.platform.objects
+package toucanrelay.store.objects
 
 import com.github.michaelbull.result.Result
-import toucanrelay.platform.PlatformError
+import toucanrelay.store.PlatformError
 
 /** The platform's object store: whole values by name, the last write wins. */
 public interface ObjectStore {
--- a/platform/src/main/kotlin/toucanrelay/platform/table/TableService.kt
+++ b/store/src/main/kotlin/toucanrelay/store/table/TableService.kt
@@ -1,7 +1,7 @@
-package toucanrelay.platform.table
+package toucanrelay.store.table
 
 import com.github.michaelbull.result.Result
-import toucanrelay.platform.PlatformError
+import toucanrelay.store.PlatformError
 
 /** Names a row of the platform's table service. */
 public data class RowKey(
--- a/platform/src/test/kotlin/toucanrelay/platform/HttpPlatformTest.kt
+++ b/store/src/test/kotlin/toucanrelay/store/HttpPlatformTest.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform
+package toucanrelay.store
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.get
@@ -14,12 +14,12 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.withContext
 import toucanrelay.core.identity.TargetId
-import toucanrelay.platform.instances.InstanceRole
-import toucanrelay.platform.instances.InstanceState
-import toucanrelay.platform.table.Row
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.RowVersion
-import toucanrelay.platform.table.WriteCondition
+import toucanrelay.store.instances.InstanceRole
+import toucanrelay.store.instances.InstanceState
+import toucanrelay.store.table.Row
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.RowVersion
+import toucanrelay.store.table.WriteCondition
 
 class HttpPlatformTest :
     DescribeSpec({
--- a/platform/src/test/kotlin/toucanrelay/platform/bundle/BundleStoreTest.kt
+++ b/store/src/test/kotlin/toucanrelay/store/bundle/BundleStoreTest.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.get
@@ -13,8 +13,8 @@
 import io.kotest.property.arbitrary.list
 import io.kotest.property.checkAll
 import toucanrelay.core.bundle.BundleVersion
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.WriteCondition
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.WriteCondition
 
 @OptIn(ExperimentalKotest::class)
 class BundleStoreTest :
--- a/platform/src/test/kotlin/toucanrelay/platform/bundle/FaultyTables.kt
+++ b/store/src/test/kotlin/toucanrelay/store/bundle/FaultyTables.kt
@@ -1,14 +1,14 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import toucanrelay.platform.PlatformError
-import toucanrelay.platform.table.Row
-import toucanrelay.platform.table.RowKey
-import toucanrelay.platform.table.RowVersion
-import toucanrelay.platform.table.TableService
-import toucanrelay.platform.table.WriteCondition
+import toucanrelay.store.PlatformError
+import toucanrelay.store.table.Row
+import toucanrelay.store.table.RowKey
+import toucanrelay.store.table.RowVersion
+import toucanrelay.store.table.TableService
+import toucanrelay.store.table.WriteCondition
 
 /** What happens to the next call. */
 enum class Fault {
--- a/platform/src/test/kotlin/toucanrelay/platform/bundle/SampleBundles.kt
+++ b/store/src/test/kotlin/toucanrelay/store/bundle/SampleBundles.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.bundle
+package toucanrelay.store.bundle
 
 /** A valid document with two organisations, one model target, one service target and two failure domains. */
 fun sampleDocument(depotShare: Double = 4.0): BundleDocument =
--- a/platform/src/test/kotlin/toucanrelay/platform/json/JsonNestingTest.kt
+++ b/store/src/test/kotlin/toucanrelay/store/json/JsonNestingTest.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.json
+package toucanrelay.store.json
 
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
--- a/platform/src/test/kotlin/toucanrelay/platform/json/MergePatchTest.kt
+++ b/store/src/test/kotlin/toucanrelay/store/json/MergePatchTest.kt
@@ -1,4 +1,4 @@
-package toucanrelay.platform.json
+package toucanrelay.store.json
 
 import io.kotest.common.ExperimentalKotest
 import io.kotest.core.spec.style.DescribeSpec
