--- /dev/null
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PrefixResidency.kt
@@ -0,0 +1,45 @@
+package toucanrelay.core.placement
+
+/**
+ * Estimates which prompt parts one engine keeps, from the requests that were sent to it.
+ *
+ * The least recently used parts yield when the estimate exceeds [capacityTokens], as in the engine itself.
+ */
+public class PrefixResidency(
+    private val capacityTokens: Long,
+) {
+    private val tokensByPart = LinkedHashMap<String, Int>(INITIAL_PARTS, LOAD_FACTOR, true)
+    private var totalTokens = 0L
+
+    /** Tokens at the beginning of a prompt with [parts] that need not be read again. */
+    public fun residentTokens(parts: List<PromptPart>): Int =
+        parts.takeWhile { it.id in tokensByPart }.sumOf { it.tokens }
+
+    /** Notes that the engine reads a prompt with [parts]. */
+    public fun noteRead(parts: List<PromptPart>) {
+        parts.forEach { part ->
+            val previous = tokensByPart.put(part.id, part.tokens)
+            totalTokens += part.tokens - (previous ?: 0)
+        }
+        evict()
+    }
+
+    /** Forgets everything, after a restart of the engine. */
+    public fun clear() {
+        tokensByPart.clear()
+        totalTokens = 0
+    }
+
+    private fun evict() {
+        val oldestFirst = tokensByPart.entries.iterator()
+        while (totalTokens > capacityTokens && oldestFirst.hasNext()) {
+            totalTokens -= oldestFirst.next().value
+            oldestFirst.remove()
+        }
+    }
+
+    private companion object {
+        const val INITIAL_PARTS = 64
+        const val LOAD_FACTOR = 0.75f
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PromptProfile.kt
@@ -0,0 +1,42 @@
+package toucanrelay.core.placement
+
+import kotlinx.collections.immutable.ImmutableList
+import kotlinx.collections.immutable.toPersistentList
+
+/** A part of a prompt that other prompts may share. */
+public data class PromptPart(
+    public val id: String,
+    public val tokens: Int,
+)
+
+/**
+ * What a model call asks of an engine.
+ *
+ * @property parts the prompt's parts in order; the last one belongs to the request itself or to its session.
+ */
+public data class PromptProfile(
+    public val model: String?,
+    public val promptTokens: Int,
+    public val maximumOutputTokens: Int,
+    public val parts: ImmutableList<PromptPart>,
+) {
+    /** The parts that other requests may have in common with this one. */
+    public val sharedParts: ImmutableList<PromptPart>
+        get() = parts.dropLast(1).toPersistentList()
+
+    /** Names what the prompt is about: its last shared part, else its only part. */
+    public val subject: String?
+        get() = (sharedParts.lastOrNull() ?: parts.lastOrNull())?.id
+
+    /** Cost to an organisation's share: prompt tokens count once and generated tokens twice. */
+    public val chargedTokens: Long
+        get() = promptTokens + OUTPUT_TOKEN_WEIGHT * maximumOutputTokens
+
+    /** Engine memory that the request holds when it has generated all its tokens. */
+    public val memoryTokens: Long
+        get() = promptTokens.toLong() + maximumOutputTokens
+
+    private companion object {
+        const val OUTPUT_TOKEN_WEIGHT = 2L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -0,0 +1,137 @@
+package toucanrelay.gateway
+
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import toucanrelay.core.identity.Incarnation
+import toucanrelay.core.target.TargetAddress
+import toucanrelay.core.time.EpochClock
+import toucanrelay.gateway.follow.FollowedOperators
+import toucanrelay.gateway.follow.FollowedTargets
+import toucanrelay.gateway.follow.StoreFollower
+import toucanrelay.gateway.http.PlainPage
+import toucanrelay.gateway.http.PlainPageServer
+import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.settings.SettingsLoader
+import toucanrelay.platform.MemberRegistration
+import toucanrelay.platform.MemberTable
+import toucanrelay.platform.OperatorTable
+import toucanrelay.platform.TargetTable
+import java.nio.file.Path
+
+/** One gateway process: starts its parts, and stops them without cutting a request. */
+internal class Gateway(
+    settings: GatewaySettings,
+    private val settingsFile: Path,
+) {
+    private val vertx: Vertx = Vertx.vertx(vertxOptions())
+    private val dispatcher = vertx.orCreateContext.dispatcher()
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val parts = GatewayParts(settings, vertx, scope)
+    private val incarnation = EpochClock.nowMilliseconds()
+    private val digests = DigestSender(parts, incarnation)
+    private val members = MemberTable(parts.store)
+
+    /** Binds all ports and begins to follow the store. */
+    suspend fun start(): Unit =
+        withContext(dispatcher) {
+            parts.log.write("start", "instance" to parts.settings.instance, "incarnation" to incarnation)
+            followStore()
+            parts.server.listen(GatewayParts.addressOf(parts.settings.callersAddress))
+            PlainPageServer(vertx, ::readiness).listen(GatewayParts.addressOf(parts.settings.readinessAddress))
+            digests.listen()
+            PlainPageServer(vertx) { PlainPage(STATUS_OK, parts.meters.scrape()) }
+                .listen(TargetAddress(parts.settings.address, parts.settings.metricsPort))
+            every(DIGEST_MILLISECONDS) { digests.send() }
+            every(SILENCE_SWEEP_MILLISECONDS) { parts.silence.sweep() }
+            every(POOL_SWEEP_MILLISECONDS) { parts.pool.sweep() }
+        }
+
+    /** Reads the settings file again; settings that cannot be used are reported and the old ones stay. */
+    fun reload() {
+        SettingsLoader
+            .load(settingsFile)
+            .onSuccess { loaded ->
+                parts.settings = loaded
+                parts.log.write("reload", "instance" to loaded.instance)
+            }.onFailure { parts.log.write("reload-failed", "detail" to it.detail) }
+    }
+
+    /** Serves what is under way to its end, within the time that the settings leave, and closes all ports. */
+    suspend fun stop(): Unit =
+        withContext(dispatcher) {
+            val startedAt = parts.clock.nowMilliseconds()
+            val limit = (parts.settings.bounds.shutdownSeconds * MILLISECONDS_IN_A_SECOND).toLong()
+            parts.log.write("stop", "active" to parts.server.active)
+            parts.server.isDraining = true
+            while (!mayClose(parts.clock.nowMilliseconds() - startedAt, limit)) delay(STOP_CHECK_MILLISECONDS)
+            parts.log.write(
+                "stopped",
+                "cutRequests" to parts.server.active,
+                "afterMs" to parts.clock.nowMilliseconds() - startedAt,
+            )
+            parts.server.close()
+            delay(LOG_FLUSH_MILLISECONDS)
+        }
+
+    private fun mayClose(elapsed: Long, limit: Long): Boolean {
+        parts.server.isRefusingNew = elapsed >= limit * REFUSE_AFTER_PART
+        val isIdle = parts.server.active == 0 && elapsed >= BALANCER_NOTICE_MILLISECONDS
+        return isIdle || elapsed >= limit - KILL_MARGIN_MILLISECONDS
+    }
+
+    private fun followStore() {
+        val operators = FollowedOperators(OperatorTable(parts.store), parts.configurations, parts.pool, parts.log)
+        val targets = FollowedTargets(TargetTable(parts.store), parts.targets, parts.log) { parts.admission.wake() }
+        scope.launch { StoreFollower(operators, parts.ageClock, parts.log).run() }
+        scope.launch { StoreFollower(targets, parts.ageClock, parts.log).run() }
+        scope.launch { joinFleet() }
+    }
+
+    private suspend fun joinFleet() {
+        val address = TargetAddress(parts.settings.address, parts.settings.memberPort)
+        val self = MemberRegistration(parts.settings.instanceId, Incarnation(incarnation), address)
+        while (members.register(self).isErr) delay(JOIN_RETRY_MILLISECONDS)
+        while (true) {
+            members.read().onSuccess { all -> all.forEach { parts.fleet.noteRegistered(it.instance, it.address) } }
+            delay(MEMBERS_READ_MILLISECONDS)
+        }
+    }
+
+    private fun readiness(): PlainPage {
+        val isReady = !parts.server.isDraining && parts.configurations.isFresh(parts.maximumAgeMilliseconds())
+        return if (isReady) PlainPage(STATUS_OK, "ready\n") else PlainPage(STATUS_UNAVAILABLE, "not ready\n")
+    }
+
+    private fun every(milliseconds: Long, action: () -> Unit) {
+        vertx.setPeriodic(milliseconds) { action() }
+    }
+
+    private fun vertxOptions() =
+        VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val STATUS_UNAVAILABLE = 503
+        const val MILLISECONDS_IN_A_SECOND = 1_000.0
+        const val DIGEST_MILLISECONDS = 200L
+        const val SILENCE_SWEEP_MILLISECONDS = 250L
+        const val POOL_SWEEP_MILLISECONDS = 1_000L
+        const val JOIN_RETRY_MILLISECONDS = 500L
+        const val MEMBERS_READ_MILLISECONDS = 10_000L
+        const val STOP_CHECK_MILLISECONDS = 50L
+        const val LOG_FLUSH_MILLISECONDS = 20L
+
+        /** The balancer asks once a second and takes a process out after two misses. */
+        const val BALANCER_NOTICE_MILLISECONDS = 2_600L
+        const val KILL_MARGIN_MILLISECONDS = 400L
+        const val REFUSE_AFTER_PART = 0.5
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
@@ -0,0 +1,61 @@
+package toucanrelay.gateway
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import toucanrelay.core.retry.TargetOutcome
+import toucanrelay.gateway.dispatch.RequestProgress
+import toucanrelay.gateway.http.CallerRequest
+import toucanrelay.gateway.http.Refusal
+import java.util.concurrent.TimeUnit
+
+/** Counters and latency histograms of the gateway. */
+internal class GatewayMeters {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val refusals = Refusal.entries.associateWith { counter("toucanrelay_refusals", "reason", it.label) }
+    private val retries =
+        TargetOutcome.entries.associateWith {
+            counter("toucanrelay_retries", "after", it.name.lowercase())
+        }
+    private val outcomes = HashMap<String, Counter>()
+    private val firstByte = HashMap<String, Timer>()
+
+    /** Counts refusals for [reason]. */
+    fun refusals(reason: Refusal): Counter = refusals.getValue(reason)
+
+    /** Counts retries after [outcome]. */
+    fun retries(outcome: TargetOutcome): Counter = retries.getValue(outcome)
+
+    /** Notes that [request] ended with [outcome] at [nowMilliseconds]. */
+    fun noteEnd(
+        request: CallerRequest,
+        outcome: String,
+        progress: RequestProgress,
+        nowMilliseconds: Long,
+    ) {
+        outcomes.getOrPut(outcome) { counter("toucanrelay_requests", "outcome", outcome) }.increment()
+        val first = progress.firstByteAtMilliseconds ?: nowMilliseconds
+        firstByteOf(request.route.name).record(first - request.arrivedAtMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    /** All meters in the text format of Prometheus. */
+    fun scrape(): String = registry.scrape()
+
+    private fun firstByteOf(route: String) =
+        firstByte.getOrPut(if (firstByte.size < MOST_ROUTES) route else OTHER_ROUTES) {
+            Timer
+                .builder("toucanrelay_first_byte")
+                .tag("route", route)
+                .publishPercentileHistogram()
+                .register(registry)
+        }
+
+    private fun counter(name: String, tag: String, value: String) =
+        Counter.builder(name).tag(tag, value).register(registry)
+
+    private companion object {
+        const val MOST_ROUTES = 50
+        const val OTHER_ROUTES = "other"
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
@@ -0,0 +1,82 @@
+package toucanrelay.gateway
+
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CoroutineScope
+import toucanrelay.core.configuration.ConfigurationRegister
+import toucanrelay.core.overload.OrganisationUsage
+import toucanrelay.core.target.TargetAddress
+import toucanrelay.core.target.TargetRegister
+import toucanrelay.core.time.EpochClock
+import toucanrelay.core.time.MonotonicClock
+import toucanrelay.gateway.dispatch.Admission
+import toucanrelay.gateway.dispatch.FairShares
+import toucanrelay.gateway.dispatch.Placer
+import toucanrelay.gateway.dispatch.RetryBudgets
+import toucanrelay.gateway.dispatch.RunnerParts
+import toucanrelay.gateway.dispatch.SilenceWatch
+import toucanrelay.gateway.http.CallerServer
+import toucanrelay.gateway.http.RequestIntake
+import toucanrelay.gateway.log.EventLog
+import toucanrelay.gateway.member.FleetView
+import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.target.TargetPool
+import toucanrelay.platform.StoreClient
+import kotlin.random.Random
+
+/** The parts of a gateway process, wired together; all but [settings] are confined to the event loop. */
+internal class GatewayParts(
+    @Volatile var settings: GatewaySettings,
+    val vertx: Vertx,
+    val scope: CoroutineScope,
+) {
+    val clock = MonotonicClock
+    val log = EventLog(clock)
+    val meters = GatewayMeters()
+
+    /** Tells the ages of what the store said. */
+    val ageClock = SuspensionAwareClock(MonotonicClock, EpochClock)
+    val configurations = ConfigurationRegister(ageClock)
+    val targets = TargetRegister(clock, LAPSE_GRACE_MILLISECONDS)
+    val pool = TargetPool(vertx, clock, targets)
+    val fleet = FleetView(settings.instanceId, clock)
+    val usage = OrganisationUsage(clock)
+    val silence = SilenceWatch(clock)
+    val store = StoreClient(vertx, addressOf(settings.storeAddress))
+
+    private val shares = FairShares(clock, usage, fleet)
+    private val placer = Placer(settings, clock, pool, fleet, shares)
+    private val intake = RequestIntake(clock, configurations, ::maximumAgeMilliseconds)
+
+    val admission = Admission(vertx, clock, placer, shares)
+    val server =
+        CallerServer(
+            vertx,
+            scope,
+            RunnerParts(
+                clock = clock,
+                admission = admission,
+                placer = placer,
+                intake = intake,
+                usage = usage,
+                budgets = RetryBudgets(clock, { settings.bounds }, fleet),
+                silence = silence,
+                meters = meters,
+                log = log,
+                random = Random.Default,
+            ),
+            configurations,
+        )
+
+    /** Age of the configuration up to which keys may be trusted. */
+    fun maximumAgeMilliseconds(): Long =
+        (settings.bounds.revocationMilliseconds - REVOCATION_MARGIN_MILLISECONDS).toLong()
+
+    internal companion object {
+        /** Registrations that lapse while the store is away are back within two seconds of its return. */
+        const val LAPSE_GRACE_MILLISECONDS = 2_200L
+        const val REVOCATION_MARGIN_MILLISECONDS = 300.0
+
+        fun addressOf(text: String): TargetAddress =
+            checkNotNull(GatewaySettings.addressOf(text)) { "the settings were checked: $text" }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
@@ -0,0 +1,72 @@
+@file:JvmName("Main")
+
+package toucanrelay.gateway
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.runBlocking
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.CmdLineException
+import org.kohsuke.args4j.CmdLineParser
+import org.kohsuke.args4j.Option
+import sun.misc.Signal
+import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.settings.SettingsLoader
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+private const val SETTINGS_VARIABLE = "TOUCANRELAY_BOOT"
+private const val EXIT_FAILED = 1
+private const val EXIT_SETTINGS = 2
+
+/** The gateway's command line. */
+internal class GatewayArguments {
+    @Argument(metaVar = "SETTINGS_FILE", usage = "JSON file with the settings; else \$$SETTINGS_VARIABLE names it")
+    var settingsFile: String? = null
+
+    @Option(name = "--check-settings", usage = "checks the settings and does nothing else")
+    var isCheckOnly: Boolean = false
+
+    @Option(name = "--help", help = true, usage = "prints this text")
+    var help: Boolean = false
+}
+
+/** Runs one gateway until SIGTERM. */
+public fun main(arguments: Array<String>) {
+    val parsed = GatewayArguments()
+    val parser = CmdLineParser(parsed)
+    try {
+        parser.parseArgument(arguments.toList())
+    } catch (wrong: CmdLineException) {
+        exitWith("${wrong.message}; see --help")
+    }
+    if (parsed.help) return printHelp(parser)
+    val file =
+        parsed.settingsFile ?: System.getenv(SETTINGS_VARIABLE) ?: exitWith("SETTINGS_FILE is missing; see --help")
+    val settings = loadOrExit(file)
+    if (!parsed.isCheckOnly) serve(settings, Path.of(file))
+}
+
+private fun printHelp(parser: CmdLineParser) {
+    println("usage: toucanrelay-gateway [--check-settings] [SETTINGS_FILE]")
+    parser.printUsage(System.out)
+}
+
+private fun loadOrExit(file: String): GatewaySettings =
+    SettingsLoader.load(Path.of(file)).fold(success = { it }, failure = { exitWith("$file: ${it.detail}") })
+
+private fun exitWith(message: String): Nothing {
+    System.err.println("toucanrelay-gateway: $message")
+    exitProcess(EXIT_SETTINGS)
+}
+
+private fun serve(settings: GatewaySettings, file: Path) {
+    val gateway = Gateway(settings, file)
+    try {
+        runBlocking { gateway.start() }
+    } catch (failure: Exception) {
+        System.err.println("toucanrelay-gateway: cannot start: $failure")
+        exitProcess(EXIT_FAILED)
+    }
+    Signal.handle(Signal("HUP")) { gateway.reload() }
+    Runtime.getRuntime().addShutdownHook(Thread { runBlocking { gateway.stop() } })
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
@@ -0,0 +1,102 @@
+package toucanrelay.gateway.dispatch
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.vertx.core.Vertx
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import toucanrelay.core.identity.TargetId
+import toucanrelay.core.time.Clock
+import toucanrelay.gateway.http.CallerRequest
+import toucanrelay.gateway.http.Refusal
+
+/**
+ * Lets requests wait for a target for a short while; confined to the event loop.
+ *
+ * Who waits is served in the order of what its organisation has got lately, callers that come back after a refusal
+ * before others of the organisation.
+ */
+internal class Admission(
+    private val vertx: Vertx,
+    private val clock: Clock,
+    private val placer: Placer,
+    private val shares: FairShares,
+) {
+    private class Waiter(
+        val request: CallerRequest,
+        val excluded: Set<TargetId>,
+        val ticket: CompletableDeferred<Ticket>,
+    )
+
+    private val waiters = LinkedHashSet<Waiter>()
+    private var isDrainScheduled = false
+
+    /** Requests that wait now. */
+    val waiting: Int
+        get() = waiters.size
+
+    /** Finds a target for [request] that is not in [excluded], or tells why there is none. */
+    suspend fun place(request: CallerRequest, excluded: Set<TargetId>): Result<Ticket, Refusal> {
+        when (val result = placer.place(request, excluded, ::wake)) {
+            is PlacingResult.Placed -> return Ok(result.ticket)
+            PlacingResult.NoTarget -> return Err(Refusal.NO_TARGET)
+            PlacingResult.Busy -> Unit
+        }
+        return await(Waiter(request, excluded, CompletableDeferred()))
+    }
+
+    /** Tries to place those who wait, soon; called when a target has room again. */
+    fun wake() {
+        if (isDrainScheduled || waiters.isEmpty()) return
+        isDrainScheduled = true
+        vertx.setTimer(DRAIN_DELAY_MILLISECONDS) {
+            isDrainScheduled = false
+            drain()
+        }
+    }
+
+    private suspend fun await(waiter: Waiter): Result<Ticket, Refusal> {
+        waiters.add(waiter)
+        try {
+            val ticket = withTimeoutOrNull(longestWait(waiter.request)) { waiter.ticket.await() }
+            return if (ticket != null) Ok(ticket) else Err(Refusal.OVERLOADED)
+        } finally {
+            waiters.remove(waiter)
+            releaseIfUnused(waiter)
+        }
+    }
+
+    /** A ticket that came in the moment in which its waiter gave up goes back. */
+    private fun releaseIfUnused(waiter: Waiter) {
+        waiter.ticket.cancel()
+    }
+
+    private fun drain() {
+        waiters.sortedWith(ORDER.thenBy { it.request.arrivedAtMilliseconds }).forEach { waiter ->
+            val result = placer.place(waiter.request, waiter.excluded, ::wake)
+            if (result is PlacingResult.Placed) {
+                waiters.remove(waiter)
+                if (!waiter.ticket.complete(result.ticket)) result.ticket.release()
+            }
+        }
+        if (waiters.isNotEmpty()) wake()
+    }
+
+    private val ORDER: Comparator<Waiter> =
+        compareBy<Waiter> { shares.servedPerSecond(it.request.account) }.thenBy { !it.request.hasReturned }
+
+    private fun longestWait(request: CallerRequest): Long {
+        val objective = request.route.latencyObjectiveMilliseconds
+        val part = if (request.hasReturned) WAIT_OF_RETURNED else WAIT_OF_NEW
+        val waited = clock.nowMilliseconds() - request.arrivedAtMilliseconds
+        val left = request.endsAtMilliseconds - clock.nowMilliseconds()
+        return minOf((objective * part).toLong() - waited, left).coerceAtLeast(1)
+    }
+
+    private companion object {
+        const val DRAIN_DELAY_MILLISECONDS = 8L
+        const val WAIT_OF_NEW = 0.35
+        const val WAIT_OF_RETURNED = 0.8
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -0,0 +1,159 @@
+package toucanrelay.gateway.dispatch
+
+import toucanrelay.core.configuration.ServiceTerms
+import toucanrelay.core.identity.FailureDomainId
+import toucanrelay.core.identity.InstanceId
+import toucanrelay.core.identity.TargetId
+import toucanrelay.core.overload.AdmissionAllowance
+import toucanrelay.core.placement.Candidate
+import toucanrelay.core.placement.Distance
+import toucanrelay.core.placement.EngineSpeed
+import toucanrelay.core.placement.Placement
+import toucanrelay.core.placement.PlacementPolicy
+import toucanrelay.core.placement.PromptProfile
+import toucanrelay.core.placement.TargetLoad
+import toucanrelay.core.target.ColdStartAllowance
+import toucanrelay.core.target.TargetCondition
+import toucanrelay.core.time.Clock
+import toucanrelay.gateway.http.CallerRequest
+import toucanrelay.gateway.member.FleetView
+import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.target.ServingTarget
+import toucanrelay.gateway.target.TargetPool
+
+/** What came of the search for a target. */
+internal sealed interface PlacingResult {
+    /** A target was found and its load taken. */
+    class Placed(
+        val ticket: Ticket,
+    ) : PlacingResult
+
+    /** Targets are there, but none may take the request now. */
+    data object Busy : PlacingResult
+
+    /** No target may ever take the request as things stand. */
+    data object NoTarget : PlacingResult
+}
+
+/** Searches a target for a request and takes its load. */
+internal class Placer(
+    private val settings: GatewaySettings,
+    private val clock: Clock,
+    private val pool: TargetPool,
+    private val fleet: FleetView,
+    private val shares: FairShares,
+) {
+    private val self: InstanceId = settings.instanceId
+    private val ownDomain = FailureDomainId(settings.failureDomain)
+    private val speeds = HashMap<String, EngineSpeed>()
+
+    /** Places [request] at a target that is not in [excluded]; [onRelease] runs when the target has room again. */
+    fun place(request: CallerRequest, excluded: Set<TargetId>, onRelease: () -> Unit): PlacingResult {
+        val serving = pool.serving(request.service).filter { request.allows(regionOf(it)) }
+        if (serving.isEmpty()) return PlacingResult.NoTarget
+        val untried = serving.filter { it.target.id !in excluded }
+        if (untried.isEmpty()) return PlacingResult.NoTarget
+        val usable = usable(untried, request.service)
+        val candidates = usable.map { candidateOf(it, request.prompt, request.service) }
+        val placement = choose(request, candidates) ?: return PlacingResult.Busy
+        return PlacingResult.Placed(
+            take(request, usable.first { it.target.id == placement.target }, placement, onRelease),
+        )
+    }
+
+    /** How fast the engines of [service] read prompts. */
+    fun speedOf(service: ServiceTerms, tokensPerSecond: Double?): EngineSpeed =
+        speeds.getOrPut(service.name) {
+            val engines = maxOf(1, pool.serving(service).size)
+            EngineSpeed(tokensPerSecond?.let { it / engines / MILLISECONDS_IN_A_SECOND } ?: DEFAULT_SPEED)
+        }
+
+    private fun choose(request: CallerRequest, candidates: List<Candidate>): Placement? {
+        val prompt = request.prompt ?: return PlacementPolicy.placeServiceCall(candidates, SERVICE_QUEUE_FACTOR)
+        val waited = clock.nowMilliseconds() - request.arrivedAtMilliseconds
+        val tokensPerSecond = request.configuration.limits.tokensPerSecond
+        val allowed =
+            AdmissionAllowance.milliseconds(
+                request.route.latencyObjectiveMilliseconds,
+                shares.servedPerSecond(request.account),
+                shares.levelPerSecond(tokensPerSecond),
+                request.hasReturned,
+            )
+        val speed = speedOf(request.service, tokensPerSecond)
+        return PlacementPolicy.placeModelCall(prompt, candidates, speed, allowed - waited)
+    }
+
+    private fun usable(serving: List<ServingTarget>, service: ServiceTerms): List<ServingTarget> {
+        val warmEnough = serving.filter { bearsAnother(it, service) }
+        val sound = warmEnough.filter { mayTry(it) }
+        return sound.ifEmpty { if (serving.all { isSuspected(it) }) warmEnough else sound }
+    }
+
+    private fun isSuspected(serving: ServingTarget) = serving.target.health.condition == TargetCondition.SUSPECTED
+
+    private fun mayTry(serving: ServingTarget): Boolean =
+        when (serving.target.health.condition) {
+            TargetCondition.SOUND -> true
+            TargetCondition.ON_TRIAL -> serving.target.load.requests == 0
+            TargetCondition.SUSPECTED -> false
+        }
+
+    private fun bearsAnother(serving: ServingTarget, service: ServiceTerms): Boolean {
+        val connections = maxOf(1, service.maximumConnections / fleet.size)
+        if (serving.target.load.requests >= connections) return false
+        val perSecond = service.coldRequestsPerSecond ?: return true
+        if (clock.nowMilliseconds() >= serving.registered.coldUntilMilliseconds) return true
+        val allowed = ColdStartAllowance.perSecond(serving.target.id, self, fleet.others, perSecond)
+        return serving.target.sentLately.count() < allowed
+    }
+
+    private fun candidateOf(serving: ServingTarget, prompt: PromptProfile?, service: ServiceTerms): Candidate {
+        val target = serving.target
+        return Candidate(
+            target = target.id,
+            distance = distanceTo(serving),
+            load = target.load + target.othersLoad,
+            residentTokens = prompt?.let { target.residency.residentTokens(it.sharedParts) } ?: 0,
+            failureRate = target.health.failureRate,
+            slots = serving.registered.registration.slots,
+            memoryTokens = service.engine?.memoryTokens,
+        )
+    }
+
+    private fun take(
+        request: CallerRequest,
+        serving: ServingTarget,
+        placement: Placement,
+        onRelease: () -> Unit,
+    ): Ticket {
+        val target = serving.target
+        val tokensAhead = target.load.unreadTokens + target.othersLoad.unreadTokens + placement.unreadTokens
+        request.prompt?.let { target.residency.noteRead(it.parts) }
+        target.sentLately.add()
+        val held = TargetLoad(1, placement.unreadTokens, memoryOf(request.prompt, placement))
+        return Ticket(serving.registered, target, placement, tokensAhead, held, onRelease)
+    }
+
+    /** Shared parts are kept once for all requests that run, so only a part of them counts for each. */
+    private fun memoryOf(prompt: PromptProfile?, placement: Placement): Long {
+        if (prompt == null) return 0
+        val resident = prompt.promptTokens - placement.unreadTokens
+        return placement.unreadTokens + resident / SHARERS_OF_RESIDENT_PARTS + prompt.maximumOutputTokens
+    }
+
+    private fun regionOf(serving: ServingTarget) = settings.regionOf(serving.registered.registration.failureDomain)
+
+    private fun distanceTo(serving: ServingTarget): Distance =
+        when {
+            serving.registered.registration.failureDomain == ownDomain -> Distance.SAME_FAILURE_DOMAIN
+            regionOf(serving) == settings.region -> Distance.SAME_REGION
+            else -> Distance.OTHER_REGION
+        }
+
+    private companion object {
+        const val MILLISECONDS_IN_A_SECOND = 1_000.0
+        const val DEFAULT_SPEED = 30.0
+        const val SERVICE_QUEUE_FACTOR = 2.5
+        const val SHARERS_OF_RESIDENT_PARTS = 3
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/PlainPageServer.kt
@@ -0,0 +1,37 @@
+package toucanrelay.gateway.http
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.kotlin.coroutines.coAwait
+import toucanrelay.core.target.TargetAddress
+
+/** A page of text with its status. */
+internal class PlainPage(
+    val status: Int,
+    val text: String,
+)
+
+/** Serves one page of text at one address, whatever the path. */
+internal class PlainPageServer(
+    private val vertx: Vertx,
+    private val page: () -> PlainPage,
+) {
+    /** Binds [address]. */
+    suspend fun listen(address: TargetAddress) {
+        vertx
+            .createHttpServer(HttpServerOptions().setIdleTimeout(IDLE_TIMEOUT_SECONDS))
+            .requestHandler { request ->
+                val answer = page()
+                request
+                    .response()
+                    .setStatusCode(answer.status)
+                    .putHeader("Content-Type", "text/plain")
+                    .end(answer.text)
+            }.listen(address.port, address.host)
+            .coAwait()
+    }
+
+    private companion object {
+        const val IDLE_TIMEOUT_SECONDS = 30
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
@@ -0,0 +1,101 @@
+package toucanrelay.gateway.http
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServerRequest
+import toucanrelay.core.configuration.Configuration
+import toucanrelay.core.configuration.ConfigurationRegister
+import toucanrelay.core.configuration.Organisation
+import toucanrelay.core.configuration.Route
+import toucanrelay.core.configuration.WeightedService
+import toucanrelay.core.identity.StableHash
+import toucanrelay.core.time.Clock
+import toucanrelay.platform.CallerHeaders
+import toucanrelay.platform.RequestHeaders
+
+/** Decides whether the configuration allows a request, and under which terms. */
+internal class RequestIntake(
+    private val clock: Clock,
+    private val register: ConfigurationRegister,
+    private val maximumAgeMilliseconds: () -> Long,
+) {
+    private val longestDeadlineByRoute = HashMap<String, Long>()
+
+    /** Checks [request], whose whole [body] has been read and whose headers came at [arrivedAtMilliseconds]. */
+    fun accept(request: HttpServerRequest, body: Buffer, arrivedAtMilliseconds: Long): Result<CallerRequest, Refusal> {
+        val configuration = register.current ?: return Err(Refusal.NO_CONFIGURATION)
+        val caller = RequestHeaders.readCaller(request.headers())
+        val requestId = caller.requestId ?: return Err(Refusal.MALFORMED)
+        val host = request.authority()?.host() ?: return Err(Refusal.MALFORMED)
+        val route = configuration.routeOf(host, request.path().orEmpty()) ?: return Err(unknownRoute())
+        val organisation = identify(configuration, route, caller).getOrElse { return Err(it) }
+        val service = configuration.services[serviceOf(route, requestId)] ?: return Err(Refusal.NO_TARGET)
+        val deadline = caller.deadlineMilliseconds ?: route.timeoutMilliseconds
+        return Ok(
+            CallerRequest(
+                id = requestId,
+                method = request.method(),
+                uri = request.uri(),
+                headers = request.headers(),
+                body = body,
+                configuration = configuration,
+                route = route,
+                service = service,
+                organisation = organisation,
+                prompt = caller.prompt?.takeIf { service.engine != null },
+                lastEventId = caller.lastEventId,
+                arrivedAtMilliseconds = arrivedAtMilliseconds,
+                endsAtMilliseconds = arrivedAtMilliseconds + minOf(deadline, route.timeoutMilliseconds),
+                hasReturned = hasReturned(route, deadline),
+            ),
+        )
+    }
+
+    /** Whether a request of [organisation] may be sent to a target now. */
+    fun isKeyCurrent(organisation: Organisation?): Boolean =
+        organisation == null || register.isFresh(maximumAgeMilliseconds())
+
+    /** A configuration that may be outdated cannot tell that a route does not exist. */
+    private fun unknownRoute(): Refusal =
+        if (register.isFresh(maximumAgeMilliseconds())) Refusal.UNKNOWN_ROUTE else Refusal.STALE_CONFIGURATION
+
+    private fun identify(
+        configuration: Configuration,
+        route: Route,
+        caller: CallerHeaders,
+    ): Result<Organisation?, Refusal> {
+        if (route.isAnonymous || !configuration.requiresKeys) return Ok(null)
+        if (!register.isFresh(maximumAgeMilliseconds())) return Err(Refusal.STALE_CONFIGURATION)
+        val organisation = caller.key?.let { configuration.organisationOf(it) } ?: return Err(Refusal.UNKNOWN_KEY)
+        return Ok(organisation)
+    }
+
+    private fun serviceOf(route: Route, requestId: String): String? {
+        val total = route.services.sumOf { it.weight }
+        if (total <= 0) return route.services.firstOrNull()?.service
+        return pick(route.services, StableHash.toUnit(StableHash.of(requestId)) * total)
+    }
+
+    private fun pick(services: List<WeightedService>, point: Double): String? {
+        var passed = 0.0
+        return services
+            .firstOrNull { part ->
+                passed += part.weight
+                point < passed
+            }?.service
+    }
+
+    /** A caller that comes back has less time left than callers of the route have at first. */
+    private fun hasReturned(route: Route, deadline: Long): Boolean {
+        val longest = maxOf(deadline, longestDeadlineByRoute[route.name] ?: 0)
+        longestDeadlineByRoute[route.name] = longest
+        return deadline < longest - LEAST_DIFFERENCE_MILLISECONDS
+    }
+
+    private companion object {
+        const val LEAST_DIFFERENCE_MILLISECONDS = 40
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/log/EventLog.kt
@@ -0,0 +1,70 @@
+package toucanrelay.gateway.log
+
+import kotlinx.serialization.json.JsonPrimitive
+import org.tinylog.kotlin.Logger
+import toucanrelay.core.limit.TokenBucket
+import toucanrelay.core.time.Clock
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
+
+/**
+ * Writes one JSON line for each event to standard output.
+ *
+ * A line is dropped and counted when more arrive than the rate allows or standard output is slower than the events, so
+ * that logging never blocks the event loop and its memory stays bounded.
+ */
+internal class EventLog(
+    private val clock: Clock,
+) {
+    private val lines = ArrayBlockingQueue<String>(QUEUED_LINES)
+    private val dropped = AtomicLong()
+    private val rate = TokenBucket(clock, LINES_PER_SECOND, LINES_IN_A_BURST)
+
+    init {
+        thread(isDaemon = true, name = "event-log") { writeForever() }
+    }
+
+    /** Writes an event with [fields]; null values are left out. */
+    fun write(event: String, vararg fields: Pair<String, Any?>) {
+        if (!rate.tryTake()) {
+            dropped.incrementAndGet()
+            return
+        }
+        val line = format(event, fields)
+        if (!lines.offer(line)) dropped.incrementAndGet()
+    }
+
+    private fun format(event: String, fields: Array<out Pair<String, Any?>>): String {
+        val text = StringBuilder(INITIAL_CHARACTERS)
+        text
+            .append("{\"ms\":")
+            .append(clock.nowMilliseconds())
+            .append(",\"event\":\"")
+            .append(event)
+            .append('"')
+        fields.forEach { (name, value) -> if (value != null) appendField(text, name, value) }
+        val lost = dropped.getAndSet(0)
+        if (lost > 0) appendField(text, "droppedLines", lost)
+        return text.append('}').toString()
+    }
+
+    private fun appendField(text: StringBuilder, name: String, value: Any) {
+        text.append(",\"").append(name).append("\":")
+        if (value is Number || value is Boolean) text.append(value) else text.append(JsonPrimitive(value.toString()))
+    }
+
+    private fun writeForever() {
+        while (true) {
+            val line = lines.take()
+            Logger.info { line }
+        }
+    }
+
+    private companion object {
+        const val QUEUED_LINES = 2_000
+        const val LINES_PER_SECOND = 300.0
+        const val LINES_IN_A_BURST = 600.0
+        const val INITIAL_CHARACTERS = 200
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberExchange.kt
@@ -0,0 +1,50 @@
+@file:OptIn(kotlinx.serialization.ExperimentalSerializationApi::class)
+
+package toucanrelay.gateway.member
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.datagram.DatagramSocket
+import io.vertx.core.datagram.DatagramSocketOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import kotlinx.serialization.protobuf.ProtoBuf
+import toucanrelay.core.target.TargetAddress
+
+/** Sends this member's digests to the others as datagrams, and takes theirs. */
+internal class MemberExchange(
+    vertx: Vertx,
+    private val view: FleetView,
+    private val onDigest: () -> Unit,
+) {
+    private val socket: DatagramSocket = vertx.createDatagramSocket(DatagramSocketOptions())
+
+    /** Binds the socket to [address]. */
+    suspend fun listen(address: TargetAddress) {
+        socket.handler { packet ->
+            receive(packet.data(), TargetAddress(packet.sender().host(), packet.sender().port()))
+        }
+        socket.listen(address.port, address.host).coAwait()
+    }
+
+    /** Sends [digest] to all other members; lost datagrams are made up for by the next ones. */
+    fun send(digest: MemberDigest) {
+        val bytes = Buffer.buffer(ProtoBuf.encodeToByteArray(digest))
+        view.addresses.forEach { socket.send(bytes, it.port, it.host) }
+    }
+
+    private fun receive(data: Buffer, from: TargetAddress) {
+        val digest =
+            try {
+                ProtoBuf.decodeFromByteArray<MemberDigest>(data.bytes)
+            } catch (_: SerializationException) {
+                return
+            } catch (_: IllegalArgumentException) {
+                return
+            }
+        view.note(digest, from)
+        onDigest()
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/SettingsLoader.kt
@@ -0,0 +1,77 @@
+package toucanrelay.gateway.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import java.io.IOException
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/**
+ * Why settings cannot be used.
+ *
+ * @property detail names the setting and what is allowed.
+ */
+public data class SettingsProblem(
+    public val detail: String,
+)
+
+/** Loads settings and checks them whole. */
+public object SettingsLoader {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Loads the settings in [file]. */
+    public fun load(file: Path): Result<GatewaySettings, SettingsProblem> =
+        try {
+            parse(file.readText())
+        } catch (unreadable: IOException) {
+            Err(SettingsProblem("cannot be read (${unreadable.javaClass.simpleName})"))
+        }
+
+    /** Parses the JSON text of settings. */
+    public fun parse(text: String): Result<GatewaySettings, SettingsProblem> = decode(text).andThen { check(it) }
+
+    private fun decode(text: String): Result<GatewaySettings, SettingsProblem> =
+        try {
+            Ok(json.decodeFromString<GatewaySettings>(text))
+        } catch (malformed: SerializationException) {
+            Err(SettingsProblem(malformed.message?.lineSequence()?.first() ?: "not JSON"))
+        }
+
+    private fun check(settings: GatewaySettings): Result<GatewaySettings, SettingsProblem> {
+        val problem =
+            listOf(
+                "callersAddress" to settings.callersAddress,
+                "readinessAddress" to settings.readinessAddress,
+                "storeAddress" to settings.storeAddress,
+            ).firstOrNull { (_, value) -> GatewaySettings.addressOf(value) == null }
+        return when {
+            problem != null -> {
+                Err(SettingsProblem("${problem.first}: '${problem.second}' is not host:port"))
+            }
+
+            settings.memberPorts.size != 2 -> {
+                Err(SettingsProblem("memberPorts: allowed is [first, last]"))
+            }
+
+            settings.memberPorts[0] >= settings.memberPorts[1] -> {
+                Err(
+                    SettingsProblem("memberPorts: two ports are needed"),
+                )
+            }
+
+            settings.bounds.retryWindowSeconds <= 0 -> {
+                Err(
+                    SettingsProblem("bounds.retryWindowSeconds: allowed is above 0"),
+                )
+            }
+
+            else -> {
+                Ok(settings)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/Target.kt
@@ -0,0 +1,39 @@
+package toucanrelay.gateway.target
+
+import toucanrelay.core.configuration.ServiceTerms
+import toucanrelay.core.identity.Incarnation
+import toucanrelay.core.identity.TargetId
+import toucanrelay.core.placement.PrefixResidency
+import toucanrelay.core.placement.TargetLoad
+import toucanrelay.core.target.RegisteredTarget
+import toucanrelay.core.target.SlidingCount
+import toucanrelay.core.target.TargetHealth
+import toucanrelay.core.time.Clock
+
+/** One run of a target as this process uses it. */
+internal class Target(
+    registered: RegisteredTarget,
+    terms: ServiceTerms,
+    clock: Clock,
+    connect: (heard: () -> Unit) -> TargetConnections,
+) {
+    val id: TargetId = registered.registration.id
+    val incarnation: Incarnation = registered.registration.incarnation
+    val health = TargetHealth(clock)
+    val connections: TargetConnections = connect(health::noteHeard)
+    val residency = PrefixResidency(((terms.engine?.memoryTokens ?: 0) * CACHED_PART_OF_MEMORY).toLong())
+
+    /** Requests of the last second, for the bound on cold targets. */
+    val sentLately = SlidingCount(clock, ONE_SECOND_MILLISECONDS)
+
+    /** What this process has at the target. */
+    var load: TargetLoad = TargetLoad.NONE
+
+    /** Members' load at the target, as they told it last. */
+    var othersLoad: TargetLoad = TargetLoad.NONE
+
+    private companion object {
+        const val ONE_SECOND_MILLISECONDS = 1_000L
+        const val CACHED_PART_OF_MEMORY = 0.65
+    }
+}
