--- a/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
@@ -51,7 +51,11 @@
  * instances send a subject to the same few engines without any exchange.
  */
 public object PlacementPolicy {
-    /** Chooses among [candidates] for a model call; null when none is expected to begin within [allowedMilliseconds]. */
+    /**
+     * Chooses among [candidates] for a model call; null when none is expected to begin within [allowedMilliseconds].
+     *
+     * A request whose own prompt takes most of that time is not shut out: it may always follow a short queue.
+     */
     public fun placeModelCall(
         prompt: PromptProfile,
         candidates: List<Candidate>,
@@ -62,7 +66,7 @@
         return candidates
             .filter { hasRoom(prompt, it) }
             .map { candidate -> candidate to placementOf(prompt, candidate, speed) }
-            .filter { (_, placement) -> placement.expectedMilliseconds <= allowedMilliseconds }
+            .filter { (candidate, placement) -> beginsInTime(candidate, placement, speed, allowedMilliseconds) }
             .minByOrNull { (candidate, placement) -> costOf(candidate, placement, speed, ranks) }
             ?.second
     }
@@ -74,6 +78,17 @@
             .minByOrNull { serviceCost(it) }
             ?.let { Placement(it.target, 0, 0.0) }
 
+    private fun beginsInTime(
+        candidate: Candidate,
+        placement: Placement,
+        speed: EngineSpeed,
+        allowedMilliseconds: Double,
+    ): Boolean {
+        val queueMilliseconds = speed.millisecondsToRead(candidate.load.unreadTokens)
+        val isShortQueue = queueMilliseconds <= allowedMilliseconds * SHORT_QUEUE_PART
+        return isShortQueue || placement.expectedMilliseconds <= allowedMilliseconds
+    }
+
     private fun hasRoom(prompt: PromptProfile, candidate: Candidate): Boolean {
         val memory = candidate.memoryTokens ?: return true
         val needed = prompt.memoryTokens - candidate.residentTokens
@@ -113,6 +128,7 @@
             .associate { (rank, candidate) -> candidate.target to minOf(rank, LAST_RANK) }
     }
 
+    private const val SHORT_QUEUE_PART = 0.35
     private const val USABLE_MEMORY = 0.9
     private const val WEIGHT_OF_READING = 1.0
     private const val MILLISECONDS_PER_RUNNING_REQUEST = 1.0
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
@@ -56,6 +56,7 @@
                 clock = clock,
                 admission = admission,
                 placer = placer,
+                targets = targets,
                 intake = intake,
                 usage = usage,
                 budgets = RetryBudgets(clock, { settings.bounds }, fleet),
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
@@ -9,12 +9,14 @@
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.Option
 import sun.misc.Signal
+import toucanrelay.gateway.selftest.SelfTest
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.settings.SettingsLoader
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
 private const val SETTINGS_VARIABLE = "TOUCANRELAY_BOOT"
+private const val EXIT_OK = 0
 private const val EXIT_FAILED = 1
 private const val EXIT_SETTINGS = 2
 
@@ -26,6 +28,9 @@
     @Option(name = "--check-settings", usage = "checks the settings and does nothing else")
     var isCheckOnly: Boolean = false
 
+    @Option(name = "--self-test", usage = "serves requests between stand-ins on the loopback and tells whether it worked")
+    var isSelfTest: Boolean = false
+
     @Option(name = "--help", help = true, usage = "prints this text")
     var help: Boolean = false
 }
@@ -40,6 +45,7 @@
         exitWith("${wrong.message}; see --help")
     }
     if (parsed.help) return printHelp(parser)
+    if (parsed.isSelfTest) return runSelfTest()
     val file =
         parsed.settingsFile ?: System.getenv(SETTINGS_VARIABLE) ?: exitWith("SETTINGS_FILE is missing; see --help")
     val settings = loadOrExit(file)
@@ -51,6 +57,12 @@
     parser.printUsage(System.out)
 }
 
+private fun runSelfTest() {
+    val problem = runBlocking { SelfTest().run() }
+    if (problem != null) System.err.println("toucanrelay-gateway: self-test failed: $problem")
+    exitProcess(if (problem == null) EXIT_OK else EXIT_FAILED)
+}
+
 private fun loadOrExit(file: String): GatewaySettings =
     SettingsLoader.load(Path.of(file)).fold(success = { it }, failure = { exitWith("$file: ${it.detail}") })
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -5,6 +5,7 @@
 import toucanrelay.core.configuration.RouteKind
 import toucanrelay.core.placement.EngineSpeed
 import toucanrelay.core.retry.TargetOutcome
+import toucanrelay.core.target.TargetRegistration
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.CallerResponder
@@ -46,6 +47,7 @@
     private val responder: CallerResponder,
     private val clock: Clock,
     private val speed: EngineSpeed?,
+    private val onReplaced: (TargetRegistration) -> Unit,
 ) {
     private var connection: TargetConnection? = null
     private var isWhole = false
@@ -134,6 +136,7 @@
     private suspend fun readRejection(answer: TargetAnswer): AttemptResult {
         if (readWhole(answer) != null) isWhole = true
         progress.isAtTarget = false
+        if (answer.described.isOtherTarget) onReplaced(ticket.registered.registration)
         return AttemptResult.Unanswered(TargetOutcome.REJECTED, "rejected with status ${answer.status}")
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -8,6 +8,8 @@
 import toucanrelay.core.retry.NextStep
 import toucanrelay.core.retry.NextStepPolicy
 import toucanrelay.core.retry.TargetOutcome
+import toucanrelay.core.target.TargetRegister
+import toucanrelay.core.target.TargetRegistration
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.GatewayMeters
 import toucanrelay.gateway.http.CallerRequest
@@ -22,6 +24,7 @@
     val clock: Clock,
     val admission: Admission,
     val placer: Placer,
+    val targets: TargetRegister,
     val intake: RequestIntake,
     val usage: OrganisationUsage,
     val budgets: RetryBudgets,
@@ -91,10 +94,15 @@
     private suspend fun attempt(ticket: Ticket): AttemptResult {
         noteChoice(ticket)
         val speed = request.prompt?.let { parts.placer.speedOf(request.service, null) }
-        val attempt = Attempt(request, ticket, progress, responder, parts.clock, speed)
+        val attempt = Attempt(request, ticket, progress, responder, parts.clock, speed, ::noteReplaced)
         return parts.silence.watch(attempt) { attempt.run() }
     }
 
+    private fun noteReplaced(registration: TargetRegistration) {
+        parts.targets.noteReplaced(registration.id, registration.incarnation)
+        parts.log.write("target-replaced", "target" to registration.id, "address" to registration.address)
+    }
+
     private fun noteChoice(ticket: Ticket) {
         progress.target = ticket.target.id
         progress.tried += ticket.target.id
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
@@ -0,0 +1,120 @@
+package toucanrelay.gateway.selftest
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import toucanrelay.gateway.Gateway
+import toucanrelay.gateway.settings.Bounds
+import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.platform.standin.ConfigurationStandIn
+import toucanrelay.platform.standin.ModelCallStandIn
+import toucanrelay.platform.standin.StoreStandIn
+import toucanrelay.platform.standin.TargetScript
+import toucanrelay.platform.standin.TargetStandIn
+import toucanrelay.platform.standin.configurationDocument
+import java.net.ServerSocket
+import java.nio.file.Path
+
+/**
+ * Runs a gateway against stand-ins on the loopback and serves one call and one stream.
+ *
+ * Beside the check itself, this loads the classes that serving needs, so that the build can put them into an archive
+ * from which processes start faster.
+ */
+internal class SelfTest {
+    private val vertx = Vertx.vertx()
+    private val store = StoreStandIn(vertx)
+    private val target = TargetStandIn(vertx, "target-1")
+
+    /** Runs the check; returns what went wrong, null when nothing did. */
+    suspend fun run(): String? =
+        try {
+            withTimeout(LIMIT_MILLISECONDS) { serveAll() }
+        } catch (_: TimeoutCancellationException) {
+            "no end within $LIMIT_MILLISECONDS ms"
+        }
+
+    private suspend fun serveAll(): String? {
+        store.start()
+        target.start()
+        target.script =
+            TargetScript { request, got, helper ->
+                if (got.path.startsWith(STREAMS)) {
+                    helper.answerStream(request, got, 1, 2)
+                } else {
+                    helper.answerWhole(request, got, "ok")
+                }
+            }
+        store.putConfiguration(configuration())
+        store.putRegistration(target.id, target.registration("service", "domain"))
+        val port = freePort()
+        Gateway(settings(port), Path.of("")).start()
+        repeat(REQUESTS) {
+            val problem = awaitServed(port, CALLS) ?: awaitServed(port, STREAMS)
+            if (problem != null) return problem
+        }
+        return null
+    }
+
+    private suspend fun awaitServed(port: Int, path: String): String? {
+        var last = ""
+        repeat(ATTEMPTS) {
+            last = send(port, path)
+            if (last.startsWith("200")) return null
+            delay(ATTEMPT_PAUSE_MILLISECONDS)
+        }
+        return "$path was answered with $last"
+    }
+
+    private suspend fun send(port: Int, path: String): String {
+        val options = RequestOptions().setMethod(HttpMethod.POST).setHost(LOOPBACK).setPort(port).setURI(path + "x")
+        val request = vertx.createHttpClient().request(options).coAwait()
+        request.putHeader("Host", ConfigurationStandIn.HOST)
+        ModelCallStandIn.write(request.headers(), KEY)
+        return request
+            .send(Buffer.buffer("body"))
+            .compose { response -> response.body().map { body -> "${response.statusCode()} $body" } }
+            .coAwait()
+    }
+
+    private fun configuration() =
+        configurationDocument(1) {
+            route(CALLS, "service", "idempotent")
+            route(STREAMS, "service", "streaming", isResumable = true)
+            service("service", engineMemoryTokens = ENGINE_MEMORY_TOKENS)
+            organisation("organisation", KEY)
+        }
+
+    private fun settings(port: Int) =
+        GatewaySettings(
+            instance = "self-test",
+            failureDomain = "domain",
+            regions = mapOf("domain" to "region"),
+            address = LOOPBACK,
+            callersAddress = "$LOOPBACK:$port",
+            readinessAddress = "$LOOPBACK:${freePort()}",
+            memberPorts = listOf(freePort(), LAST_PORT),
+            storeAddress = store.address.toString(),
+            bounds = Bounds(2_500.0, 5_000.0, 2_500.0, 5_000.0, 8.0, 0.2, 50.0, 10.0),
+        )
+
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val CALLS = "/calls/"
+        const val STREAMS = "/streams/"
+        const val KEY = "key-1"
+        const val REQUESTS = 20
+        const val LIMIT_MILLISECONDS = 30_000L
+        const val ATTEMPTS = 50
+        const val ATTEMPT_PAUSE_MILLISECONDS = 100L
+        const val ENGINE_MEMORY_TOKENS = 100_000L
+        const val LAST_PORT = 65_535
+    }
+}
