Tell members what engines read, and part engines into reading and generating

Cause: 18 in 100 prompt tokens were shared parts read again, since each process knew its own requests only; the longest streams missed their deadline because prompts were read between their tokens.

--- a/core/src/main/kotlin/toucanrelay/core/placement/EngineSpeed.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/EngineSpeed.kt
@@ -25,7 +25,12 @@
     /** Time that reading [tokens] takes. */
     public fun millisecondsToRead(tokens: Long): Double = tokens / tokensPerMillisecond
 
+    /** Part of an engine's time that reading [tokensPerSecond] takes. */
+    public fun busyPart(tokensPerSecond: Double): Double =
+        tokensPerSecond / (tokensPerMillisecond * MILLISECONDS_IN_A_SECOND)
+
     private companion object {
+        const val MILLISECONDS_IN_A_SECOND = 1_000.0
         const val LEAST_TOKENS_TO_LEARN_FROM = 3_000L
         const val FIXED_MILLISECONDS = 60L
         const val WEIGHT_OF_NEWEST = 0.03
--- /dev/null
+++ b/core/src/main/kotlin/toucanrelay/core/placement/Option.kt
@@ -0,0 +1,63 @@
+package toucanrelay.core.placement
+
+/** Prompt tokens of [prompt] that [candidate] would have to read, at least one. */
+internal fun unreadTokens(prompt: PromptProfile, candidate: Candidate): Long =
+    maxOf(1L, prompt.promptTokens.toLong() - candidate.residentTokens)
+
+/**
+ * A model call at one candidate, and what that costs.
+ *
+ * @param leastUnreadTokens what the candidate that keeps most of the prompt would have to read.
+ * @param rank the candidate's place in the order of the prompt's subject.
+ */
+internal class Option(
+    private val prompt: PromptProfile,
+    private val candidate: Candidate,
+    private val speed: EngineSpeed,
+    leastUnreadTokens: Long,
+    private val rank: Int,
+) {
+    private val unread = unreadTokens(prompt, candidate)
+    private val expectedMilliseconds = speed.millisecondsToFirstEvent(candidate.load.unreadTokens + unread)
+    private val readAgainMilliseconds = speed.millisecondsToRead(unread - leastUnreadTokens)
+
+    val placement: Placement
+        get() = Placement(candidate.target, unread, expectedMilliseconds)
+
+    /** The cost in milliseconds that this request or others will wait, weighted. */
+    val cost: Double
+        get() =
+            expectedMilliseconds +
+                readAgainMilliseconds * WEIGHT_OF_READING_AGAIN +
+                delayOfOthers() * WEIGHT_OF_OTHERS +
+                delayOfGenerating() * WEIGHT_OF_GENERATING +
+                candidate.distance.costMilliseconds +
+                candidate.failureRate * PlacementPolicy.FAILURE_COST_MILLISECONDS +
+                rank * RANK_COST_MILLISECONDS
+
+    /** Whether the first event may come within [allowedMilliseconds], or the queue before a long prompt is short. */
+    fun beginsWithin(allowedMilliseconds: Double): Boolean {
+        val queueMilliseconds = speed.millisecondsToRead(candidate.load.unreadTokens) + readAgainMilliseconds
+        val isShortQueue = queueMilliseconds <= allowedMilliseconds * SHORT_QUEUE_PART
+        return isShortQueue || expectedMilliseconds + readAgainMilliseconds <= allowedMilliseconds
+    }
+
+    /** Each running request waits while the prompt is read. */
+    private fun delayOfOthers() = speed.millisecondsToRead(unread) * candidate.load.requests
+
+    /** Each generated token waits for the prompt chunks that are read between two of them. */
+    private fun delayOfGenerating(): Double {
+        val busyPart = speed.busyPart(candidate.readTokensPerSecond).coerceAtMost(MOST_BUSY_PART)
+        return prompt.maximumOutputTokens * STEP_MILLISECONDS * busyPart / (1 - busyPart)
+    }
+
+    private companion object {
+        const val WEIGHT_OF_READING_AGAIN = 1.0
+        const val WEIGHT_OF_OTHERS = 0.05
+        const val WEIGHT_OF_GENERATING = 0.1
+        const val RANK_COST_MILLISECONDS = 20.0
+        const val SHORT_QUEUE_PART = 0.35
+        const val STEP_MILLISECONDS = 8.0
+        const val MOST_BUSY_PART = 0.85
+    }
+}
--- a/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
@@ -16,6 +16,7 @@
  * A target that may take the request.
  *
  * @property load what is at the target, as known over the fleet.
+ * @property readTokensPerSecond prompt tokens that the fleet sends to the engine a second.
  * @property residentTokens prompt tokens of the request that the engine probably keeps.
  * @property failureRate part of the recent requests that the target failed.
  * @property slots requests that the target runs at once.
@@ -25,6 +26,7 @@
     public val target: TargetId,
     public val distance: Distance,
     public val load: TargetLoad,
+    public val readTokensPerSecond: Double,
     public val residentTokens: Int,
     public val failureRate: Double,
     public val slots: Int,
@@ -46,8 +48,10 @@
 /**
  * Chooses the target of a request.
  *
- * A model call goes where its first event is expected soonest, where reading prompt parts again counts against a
- * target because it delays everyone there. A rendezvous hash of the prompt's subject breaks ties, so that all
+ * A model call goes where its first event is expected soonest, and three things count against a target: reading shared
+ * prompt parts that another engine keeps; reading a long prompt where many requests generate, which it delays; and
+ * generating long output where many prompts are read, which delays it. So engines part by themselves into those that
+ * mostly read and those that mostly generate. A rendezvous hash of the prompt's subject breaks ties, so that all
  * instances send a subject to the same few engines without any exchange.
  */
 public object PlacementPolicy {
@@ -63,12 +67,13 @@
         allowedMilliseconds: Double,
     ): Placement? {
         val ranks = ranksBySubject(prompt.subject, candidates)
+        val leastUnread = candidates.minOfOrNull { unreadTokens(prompt, it) } ?: return null
         return candidates
             .filter { hasRoom(prompt, it) }
-            .map { candidate -> candidate to placementOf(prompt, candidate, speed) }
-            .filter { (candidate, placement) -> beginsInTime(candidate, placement, speed, allowedMilliseconds) }
-            .minByOrNull { (candidate, placement) -> costOf(candidate, placement, speed, ranks) }
-            ?.second
+            .map { candidate -> Option(prompt, candidate, speed, leastUnread, ranks.getValue(candidate.target)) }
+            .filter { it.beginsWithin(allowedMilliseconds) }
+            .minByOrNull { it.cost }
+            ?.placement
     }
 
     /** Chooses among [candidates] for a call of a plain service; null when all of them have [queueFactor] x slots. */
@@ -78,17 +83,6 @@
             .minByOrNull { serviceCost(it) }
             ?.let { Placement(it.target, 0, 0.0) }
 
-    private fun beginsInTime(
-        candidate: Candidate,
-        placement: Placement,
-        speed: EngineSpeed,
-        allowedMilliseconds: Double,
-    ): Boolean {
-        val queueMilliseconds = speed.millisecondsToRead(candidate.load.unreadTokens)
-        val isShortQueue = queueMilliseconds <= allowedMilliseconds * SHORT_QUEUE_PART
-        return isShortQueue || placement.expectedMilliseconds <= allowedMilliseconds
-    }
-
     private fun hasRoom(prompt: PromptProfile, candidate: Candidate): Boolean {
         val memory = candidate.memoryTokens ?: return true
         val needed = prompt.memoryTokens - candidate.residentTokens
@@ -96,25 +90,6 @@
         return candidate.load.requests < candidate.slots && (fits || candidate.load.requests == 0)
     }
 
-    private fun placementOf(prompt: PromptProfile, candidate: Candidate, speed: EngineSpeed): Placement {
-        val unread = maxOf(1L, prompt.promptTokens.toLong() - candidate.residentTokens)
-        val expected = speed.millisecondsToFirstEvent(candidate.load.unreadTokens + unread)
-        return Placement(candidate.target, unread, expected)
-    }
-
-    private fun costOf(
-        candidate: Candidate,
-        placement: Placement,
-        speed: EngineSpeed,
-        ranks: Map<TargetId, Int>,
-    ): Double =
-        placement.expectedMilliseconds +
-            speed.millisecondsToRead(placement.unreadTokens) * WEIGHT_OF_READING +
-            candidate.load.requests * MILLISECONDS_PER_RUNNING_REQUEST +
-            candidate.distance.costMilliseconds +
-            candidate.failureRate * FAILURE_COST_MILLISECONDS +
-            ranks.getValue(candidate.target) * RANK_COST_MILLISECONDS
-
     private fun serviceCost(candidate: Candidate): Double =
         candidate.load.requests.toDouble() / candidate.slots * SERVICE_QUEUE_COST_MILLISECONDS +
             candidate.distance.costMilliseconds +
@@ -128,12 +103,8 @@
             .associate { (rank, candidate) -> candidate.target to minOf(rank, LAST_RANK) }
     }
 
-    private const val SHORT_QUEUE_PART = 0.35
     private const val USABLE_MEMORY = 0.9
-    private const val WEIGHT_OF_READING = 1.0
-    private const val MILLISECONDS_PER_RUNNING_REQUEST = 1.0
-    private const val FAILURE_COST_MILLISECONDS = 800.0
-    private const val RANK_COST_MILLISECONDS = 20.0
+    internal const val FAILURE_COST_MILLISECONDS = 800.0
     private const val LAST_RANK = 3
     private const val SERVICE_QUEUE_COST_MILLISECONDS = 100.0
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -82,7 +82,7 @@
         }
 
     private fun mayClose(elapsed: Long, limit: Long): Boolean {
-        parts.server.isRefusingNew = elapsed >= limit * REFUSE_AFTER_PART
+        parts.server.isRefusingNew = elapsed >= minOf(REFUSE_AFTER_MILLISECONDS, limit / 2)
         val isIdle = parts.server.active == 0 && elapsed >= BALANCER_NOTICE_MILLISECONDS
         return isIdle || elapsed >= limit - KILL_MARGIN_MILLISECONDS
     }
@@ -132,6 +132,8 @@
         /** The balancer asks once a second and takes a process out after two misses. */
         const val BALANCER_NOTICE_MILLISECONDS = 2_600L
         const val KILL_MARGIN_MILLISECONDS = 400L
-        const val REFUSE_AFTER_PART = 0.5
+
+        /** What comes later could not be served to its end before the process is killed. */
+        const val REFUSE_AFTER_MILLISECONDS = 2_700L
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
@@ -18,6 +18,7 @@
 import toucanrelay.gateway.http.RequestIntake
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.gateway.member.FleetView
+import toucanrelay.gateway.member.RecentReads
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.target.TargetPool
 import toucanrelay.platform.StoreClient
@@ -39,12 +40,13 @@
     val targets = TargetRegister(clock, LAPSE_GRACE_MILLISECONDS)
     val pool = TargetPool(vertx, clock, targets)
     val fleet = FleetView(settings.instanceId, clock)
+    val reads = RecentReads()
     val usage = OrganisationUsage(clock)
     val silence = SilenceWatch(clock)
     val store = StoreClient(vertx, addressOf(settings.storeAddress))
 
     private val shares = FairShares(clock, usage, fleet)
-    private val placer = Placer(settings, clock, pool, fleet, shares)
+    private val placer = Placer(settings, clock, pool, fleet, shares, reads)
     private val intake = RequestIntake(clock, configurations, ::maximumAgeMilliseconds)
 
     val admission = Admission(vertx, clock, placer, shares)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
@@ -28,7 +28,10 @@
     @Option(name = "--check-settings", usage = "checks the settings and does nothing else")
     var isCheckOnly: Boolean = false
 
-    @Option(name = "--self-test", usage = "serves requests between stand-ins on the loopback and tells whether it worked")
+    @Option(
+        name = "--self-test",
+        usage = "serves requests between stand-ins on the loopback and tells whether it worked",
+    )
     var isSelfTest: Boolean = false
 
     @Option(name = "--help", help = true, usage = "prints this text")
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -17,8 +17,10 @@
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.member.FleetView
+import toucanrelay.gateway.member.RecentReads
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.target.ServingTarget
+import toucanrelay.gateway.target.Target
 import toucanrelay.gateway.target.TargetPool
 
 /** What came of the search for a target. */
@@ -42,6 +44,7 @@
     private val pool: TargetPool,
     private val fleet: FleetView,
     private val shares: FairShares,
+    private val reads: RecentReads,
 ) {
     private val self: InstanceId = settings.instanceId
     private val ownDomain = FailureDomainId(settings.failureDomain)
@@ -113,6 +116,7 @@
             target = target.id,
             distance = distanceTo(serving),
             load = target.load + target.othersLoad,
+            readTokensPerSecond = target.readTokens.perSecond + target.othersReadPerSecond,
             residentTokens = prompt?.let { target.residency.residentTokens(it.sharedParts) } ?: 0,
             failureRate = target.health.failureRate,
             slots = serving.registered.registration.slots,
@@ -128,12 +132,18 @@
     ): Ticket {
         val target = serving.target
         val tokensAhead = target.load.unreadTokens + target.othersLoad.unreadTokens + placement.unreadTokens
-        request.prompt?.let { target.residency.noteRead(it.parts) }
+        request.prompt?.let { noteRead(target, it, placement) }
         target.sentLately.add()
         val held = TargetLoad(1, placement.unreadTokens, memoryOf(request.prompt, placement))
         return Ticket(serving.registered, target, placement, tokensAhead, held, onRelease)
     }
 
+    private fun noteRead(target: Target, prompt: PromptProfile, placement: Placement) {
+        target.residency.noteRead(prompt.parts)
+        target.readTokens.add(placement.unreadTokens.toDouble())
+        reads.note(target.id, prompt.sharedParts)
+    }
+
     /** Shared parts are kept once for all requests that run, so only a part of them counts for each. */
     private fun memoryOf(prompt: PromptProfile?, placement: Placement): Long {
         if (prompt == null) return 0
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -40,28 +40,23 @@
         members.getOrPut(instance) { Member(address) }.address = address
     }
 
-    /** Takes [digest], unless it is older than the one known; [address] is where it came from. */
-    fun note(digest: MemberDigest, address: TargetAddress) {
+    /** Takes [digest] and tells whether it is newer than the one known; [address] is where it came from. */
+    fun note(digest: MemberDigest, address: TargetAddress): Boolean {
         val instance = InstanceId(digest.instance)
-        if (instance == self) return
+        if (instance == self) return false
         val member = members.getOrPut(instance) { Member(address) }
-        if (isOlder(digest, member.digest)) return
+        if (isOlder(digest, member.digest)) return false
         member.digest = digest
         member.heardAtMilliseconds = clock.nowMilliseconds()
+        return true
     }
 
     /** What all other members have at each target. */
-    fun loads(): Map<TargetId, TargetLoad> {
-        val loads = HashMap<TargetId, TargetLoad>()
-        liveDigests().flatMap { it.loads }.forEach { entry ->
-            loads.merge(
-                TargetId(entry.target),
-                TargetLoad(entry.requests, entry.unreadTokens, entry.memoryTokens),
-                TargetLoad::plus,
-            )
-        }
-        return loads
-    }
+    fun loads(): Map<TargetId, OthersLoad> =
+        liveDigests()
+            .flatMap { it.loads }
+            .groupBy { TargetId(it.target) }
+            .mapValues { (_, entries) -> OthersLoad.sum(entries) }
 
     /** What organisations ask for and get at all other members. */
     fun usage(): Map<OrganisationId, UsageRate> {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -12,6 +12,21 @@
     @ProtoNumber(2) val requests: Int,
     @ProtoNumber(3) val unreadTokens: Long,
     @ProtoNumber(4) val memoryTokens: Long,
+    @ProtoNumber(5) val readTokensPerSecond: Int,
+)
+
+/** A prompt part that an engine keeps. */
+@Serializable
+internal data class PartEntry(
+    @ProtoNumber(1) val id: String,
+    @ProtoNumber(2) val tokens: Int,
+)
+
+/** Shared prompt parts, in order, that a member had an engine read. */
+@Serializable
+internal data class ReadEntry(
+    @ProtoNumber(1) val target: String,
+    @ProtoNumber(2) val parts: List<PartEntry>,
 )
 
 /** What an organisation asks for and gets at a member, in charged tokens a second. */
@@ -37,4 +52,5 @@
     @ProtoNumber(4) val isLeaving: Boolean = false,
     @ProtoNumber(5) val loads: List<TargetLoadEntry> = emptyList(),
     @ProtoNumber(6) val usage: List<UsageEntry> = emptyList(),
+    @ProtoNumber(7) val reads: List<ReadEntry> = emptyList(),
 )
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberExchange.kt
@@ -17,7 +17,7 @@
 internal class MemberExchange(
     vertx: Vertx,
     private val view: FleetView,
-    private val onDigest: () -> Unit,
+    private val onDigest: (MemberDigest) -> Unit,
 ) {
     private val socket: DatagramSocket = vertx.createDatagramSocket(DatagramSocketOptions())
 
@@ -44,7 +44,6 @@
             } catch (_: IllegalArgumentException) {
                 return
             }
-        view.note(digest, from)
-        onDigest()
+        if (view.note(digest, from)) onDigest(digest)
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
@@ -72,7 +72,12 @@
     }
 
     private suspend fun send(port: Int, path: String): String {
-        val options = RequestOptions().setMethod(HttpMethod.POST).setHost(LOOPBACK).setPort(port).setURI(path + "x")
+        val options =
+            RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(LOOPBACK)
+                .setPort(port)
+                .setURI(path + "x")
         val request = vertx.createHttpClient().request(options).coAwait()
         request.putHeader("Host", ConfigurationStandIn.HOST)
         ModelCallStandIn.write(request.headers(), KEY)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/Target.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/Target.kt
@@ -3,6 +3,7 @@
 import toucanrelay.core.configuration.ServiceTerms
 import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.identity.TargetId
+import toucanrelay.core.overload.DecayingRate
 import toucanrelay.core.placement.PrefixResidency
 import toucanrelay.core.placement.TargetLoad
 import toucanrelay.core.target.RegisteredTarget
@@ -26,6 +27,12 @@
     /** Requests of the last second, for the bound on cold targets. */
     val sentLately = SlidingCount(clock, ONE_SECOND_MILLISECONDS)
 
+    /** Prompt tokens that this process sends to the target. */
+    val readTokens = DecayingRate(clock, READ_RATE_MEMORY_MILLISECONDS)
+
+    /** Prompt tokens a second that the other members send to the target. */
+    var othersReadPerSecond: Double = 0.0
+
     /** What this process has at the target. */
     var load: TargetLoad = TargetLoad.NONE
 
@@ -33,6 +40,7 @@
     var othersLoad: TargetLoad = TargetLoad.NONE
 
     private companion object {
+        const val READ_RATE_MEMORY_MILLISECONDS = 2_000L
         const val ONE_SECOND_MILLISECONDS = 1_000L
         const val CACHED_PART_OF_MEMORY = 0.65
     }
