Learn how far output hints are off, and price generating beside reading without a cap

A hint counts events on this deployment, so it is learned. The price had a cap that all busy engines reached, so it told nothing when load was worst.

--- a/core/src/main/kotlin/toucanrelay/core/configuration/Configuration.kt
+++ b/core/src/main/kotlin/toucanrelay/core/configuration/Configuration.kt
@@ -17,11 +17,13 @@
  * The model engines of a service.
  *
  * @property slots requests that one engine runs at once.
+ * @property tokensPerEvent generated tokens that one event of a stream holds.
  * @property memoryTokens tokens that running requests and cached prompt parts share.
  */
 public data class EngineTerms(
     public val slots: Int,
     public val memoryTokens: Long,
+    public val tokensPerEvent: Int,
 )
 
 /**
--- a/core/src/main/kotlin/toucanrelay/core/placement/Option.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/Option.kt
@@ -45,19 +45,16 @@
     /** Each running request waits while the prompt is read. */
     private fun delayOfOthers() = speed.millisecondsToRead(unread) * candidate.load.requests
 
-    /** Each generated token waits for the prompt chunks that are read between two of them. */
-    private fun delayOfGenerating(): Double {
-        val busyPart = speed.busyPart(candidate.readTokensPerSecond).coerceAtMost(MOST_BUSY_PART)
-        return prompt.maximumOutputTokens * STEP_MILLISECONDS * busyPart / (1 - busyPart)
-    }
+    /** Each generated token waits for the prompt chunk that is read before it, the more often the busier the engine. */
+    private fun delayOfGenerating(): Double =
+        prompt.expectedOutputTokens * CHUNK_MILLISECONDS * speed.busyPart(candidate.readTokensPerSecond)
 
     private companion object {
         const val WEIGHT_OF_READING_AGAIN = 1.0
-        const val WEIGHT_OF_OTHERS = 0.05
-        const val WEIGHT_OF_GENERATING = 0.1
+        const val WEIGHT_OF_OTHERS = 0.15
+        const val WEIGHT_OF_GENERATING = 0.2
         const val RANK_COST_MILLISECONDS = 20.0
         const val SHORT_QUEUE_PART = 0.35
-        const val STEP_MILLISECONDS = 8.0
-        const val MOST_BUSY_PART = 0.85
+        const val CHUNK_MILLISECONDS = 40.0
     }
 }
--- a/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
@@ -83,7 +83,8 @@
             .minByOrNull { serviceCost(it) }
             ?.let { Placement(it.target, 0, 0.0) }
 
-    private fun hasRoom(prompt: PromptProfile, candidate: Candidate): Boolean {
+    /** Whether [candidate] has a slot and memory for [prompt]. */
+    public fun hasRoom(prompt: PromptProfile, candidate: Candidate): Boolean {
         val memory = candidate.memoryTokens ?: return true
         val needed = prompt.memoryTokens - candidate.residentTokens
         val fits = candidate.load.memoryTokens + needed <= memory * USABLE_MEMORY
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
@@ -10,6 +10,7 @@
 import toucanrelay.core.time.MonotonicClock
 import toucanrelay.gateway.dispatch.Admission
 import toucanrelay.gateway.dispatch.FairShares
+import toucanrelay.gateway.dispatch.OutputEstimates
 import toucanrelay.gateway.dispatch.Placer
 import toucanrelay.gateway.dispatch.RetryBudgets
 import toucanrelay.gateway.dispatch.RunnerParts
@@ -47,7 +48,8 @@
 
     private val shares = FairShares(clock, usage, fleet)
     private val placer = Placer(settings, clock, pool, fleet, shares, reads)
-    private val intake = RequestIntake(clock, configurations, ::maximumAgeMilliseconds)
+    private val estimates = OutputEstimates()
+    private val intake = RequestIntake(clock, configurations, estimates, ::maximumAgeMilliseconds)
 
     val admission = Admission(vertx, clock, placer, shares)
     val server =
@@ -61,6 +63,7 @@
                 targets = targets,
                 intake = intake,
                 usage = usage,
+                estimates = estimates,
                 budgets = RetryBudgets(clock, { settings.bounds }, fleet),
                 silence = silence,
                 meters = meters,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
@@ -26,8 +26,15 @@
     private class Waiter(
         val request: CallerRequest,
         val excluded: Set<TargetId>,
-        val ticket: CompletableDeferred<Ticket>,
-    )
+    ) {
+        val isPlaced = CompletableDeferred<Unit>()
+        var ticket: Ticket? = null
+
+        /** Gives back a ticket that came in the moment in which the request gave up. */
+        fun abandon() {
+            ticket?.release()
+        }
+    }
 
     private val waiters = LinkedHashSet<Waiter>()
     private var isDrainScheduled = false
@@ -43,7 +50,7 @@
             PlacingResult.NoTarget -> return Err(Refusal.NO_TARGET)
             PlacingResult.Busy -> Unit
         }
-        return await(Waiter(request, excluded, CompletableDeferred()))
+        return await(Waiter(request, excluded))
     }
 
     /** Tries to place those who wait, soon; called when a target has room again. */
@@ -58,32 +65,29 @@
 
     private suspend fun await(waiter: Waiter): Result<Ticket, Refusal> {
         waiters.add(waiter)
+        var isInTime = false
         try {
-            val ticket = withTimeoutOrNull(longestWait(waiter.request)) { waiter.ticket.await() }
-            return if (ticket != null) Ok(ticket) else Err(Refusal.OVERLOADED)
+            isInTime = withTimeoutOrNull(longestWait(waiter.request)) { waiter.isPlaced.await() } != null
         } finally {
             waiters.remove(waiter)
-            releaseIfUnused(waiter)
+            if (!isInTime) waiter.abandon()
         }
-    }
-
-    /** A ticket that came in the moment in which its waiter gave up goes back. */
-    private fun releaseIfUnused(waiter: Waiter) {
-        waiter.ticket.cancel()
+        return if (isInTime) Ok(checkNotNull(waiter.ticket)) else Err(Refusal.OVERLOADED)
     }
 
     private fun drain() {
-        waiters.sortedWith(ORDER.thenBy { it.request.arrivedAtMilliseconds }).forEach { waiter ->
+        waiters.sortedWith(order.thenBy { it.request.arrivedAtMilliseconds }).forEach { waiter ->
             val result = placer.place(waiter.request, waiter.excluded, ::wake)
             if (result is PlacingResult.Placed) {
                 waiters.remove(waiter)
-                if (!waiter.ticket.complete(result.ticket)) result.ticket.release()
+                waiter.ticket = result.ticket
+                waiter.isPlaced.complete(Unit)
             }
         }
         if (waiters.isNotEmpty()) wake()
     }
 
-    private val ORDER: Comparator<Waiter> =
+    private val order: Comparator<Waiter> =
         compareBy<Waiter> { shares.servedPerSecond(it.request.account) }.thenBy { !it.request.hasReturned }
 
     private fun longestWait(request: CallerRequest): Long {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -190,6 +190,7 @@
         if (!responder.hasBegun) responder.beginStream(answer.status, answer.headers)
         noteFirstEvent()
         if (id != null) progress.lastEventId = id
+        progress.events++
         responder.writePart(event.bytes)
         return null
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -64,6 +64,20 @@
         )
     }
 
+    /** Tells, for the log, what kept [request] from the targets. */
+    fun explain(request: CallerRequest): String {
+        val serving = pool.serving(request.service).filter { request.allows(regionOf(it)) }
+        val usable = usable(serving, request.service)
+        val counts = "targets ${serving.size} usable ${usable.size}"
+        val prompt = request.prompt ?: return counts
+        val candidates = usable.map { candidateOf(it, prompt, request.service) }
+        val withRoom = candidates.filter { PlacementPolicy.hasRoom(prompt, it) }
+        val unread = withRoom.minOfOrNull { it.load.unreadTokens }
+        return "$counts with room ${withRoom.size} least unread $unread allowed ms ${allowedMilliseconds(
+            request,
+        ).toInt()}"
+    }
+
     /** How fast the engines of [service] read prompts. */
     fun speedOf(service: ServiceTerms, tokensPerSecond: Double?): EngineSpeed =
         speeds.getOrPut(service.name) {
@@ -74,18 +88,18 @@
     private fun choose(request: CallerRequest, candidates: List<Candidate>): Placement? {
         val prompt = request.prompt ?: return PlacementPolicy.placeServiceCall(candidates, SERVICE_QUEUE_FACTOR)
         val waited = clock.nowMilliseconds() - request.arrivedAtMilliseconds
-        val tokensPerSecond = request.configuration.limits.tokensPerSecond
-        val allowed =
-            AdmissionAllowance.milliseconds(
-                request.route.latencyObjectiveMilliseconds,
-                shares.servedPerSecond(request.account),
-                shares.levelPerSecond(tokensPerSecond),
-                request.hasReturned,
-            )
-        val speed = speedOf(request.service, tokensPerSecond)
-        return PlacementPolicy.placeModelCall(prompt, candidates, speed, allowed - waited)
+        val speed = speedOf(request.service, request.configuration.limits.tokensPerSecond)
+        return PlacementPolicy.placeModelCall(prompt, candidates, speed, allowedMilliseconds(request) - waited)
     }
 
+    private fun allowedMilliseconds(request: CallerRequest): Double =
+        AdmissionAllowance.milliseconds(
+            request.route.latencyObjectiveMilliseconds,
+            shares.servedPerSecond(request.account),
+            shares.levelPerSecond(request.configuration.limits.tokensPerSecond),
+            request.hasReturned,
+        )
+
     private fun usable(serving: List<ServingTarget>, service: ServiceTerms): List<ServingTarget> {
         val warmEnough = serving.filter { bearsAnother(it, service) }
         val sound = warmEnough.filter { mayTry(it) }
@@ -148,7 +162,7 @@
     private fun memoryOf(prompt: PromptProfile?, placement: Placement): Long {
         if (prompt == null) return 0
         val resident = prompt.promptTokens - placement.unreadTokens
-        return placement.unreadTokens + resident / SHARERS_OF_RESIDENT_PARTS + prompt.maximumOutputTokens
+        return placement.unreadTokens + resident / SHARERS_OF_RESIDENT_PARTS + prompt.expectedOutputTokens
     }
 
     private fun regionOf(serving: ServingTarget) = settings.regionOf(serving.registered.registration.failureDomain)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestProgress.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestProgress.kt
@@ -21,6 +21,9 @@
     /** The target of the last attempt. */
     var target: TargetId? = null
 
+    /** Events that were passed on. */
+    var events: Long = 0
+
     /** When the first byte for the caller came, on the process's clock. */
     var firstByteAtMilliseconds: Long? = null
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -27,6 +27,7 @@
     val targets: TargetRegister,
     val intake: RequestIntake,
     val usage: OrganisationUsage,
+    val estimates: OutputEstimates,
     val budgets: RetryBudgets,
     val silence: SilenceWatch,
     val meters: GatewayMeters,
@@ -69,6 +70,7 @@
             "waitedMs" to progress.waitedMilliseconds,
             "expectedMs" to progress.expectedMilliseconds,
             "unreadTokens" to progress.unreadTokens,
+            "outputTokens" to request.prompt?.expectedOutputTokens,
             "firstByteMs" to progress.firstByteAtMilliseconds?.let { it - request.arrivedAtMilliseconds },
             "totalMs" to now - request.arrivedAtMilliseconds,
             "configuration" to request.configuration.version,
@@ -86,6 +88,7 @@
             if (result is AttemptResult.Unanswered) {
                 if (!continueAfter(result)) return
             } else {
+                if (request.lastEventId == null) parts.estimates.observe(request, progress.events)
                 return end("answered")
             }
         }
@@ -177,6 +180,7 @@
 
     /** Ends a request for which no (further) target was found. */
     private fun endUnplaced(reason: Refusal) {
+        if (progress.detail == null) progress.detail = parts.placer.explain(request)
         refuse(if (progress.mayHaveRun) Refusal.ANSWER_LOST else reason)
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
@@ -48,7 +48,8 @@
         return (ofRoute.isEmpty() || region in ofRoute) && (ofOrganisation.isEmpty() || region in ofOrganisation)
     }
 
-    private companion object {
+    internal companion object {
+        /** The account of all requests without an organisation. */
         val ANONYMOUS = OrganisationId("")
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
@@ -12,7 +12,9 @@
 import toucanrelay.core.configuration.Route
 import toucanrelay.core.configuration.WeightedService
 import toucanrelay.core.identity.StableHash
+import toucanrelay.core.placement.PromptProfile
 import toucanrelay.core.time.Clock
+import toucanrelay.gateway.dispatch.OutputEstimates
 import toucanrelay.platform.CallerHeaders
 import toucanrelay.platform.RequestHeaders
 
@@ -20,6 +22,7 @@
 internal class RequestIntake(
     private val clock: Clock,
     private val register: ConfigurationRegister,
+    private val estimates: OutputEstimates,
     private val maximumAgeMilliseconds: () -> Long,
 ) {
     private val longestDeadlineByRoute = HashMap<String, Long>()
@@ -45,7 +48,7 @@
                 route = route,
                 service = service,
                 organisation = organisation,
-                prompt = caller.prompt?.takeIf { service.engine != null },
+                prompt = caller.prompt?.takeIf { service.engine != null }?.let { refine(it, route, organisation) },
                 lastEventId = caller.lastEventId,
                 arrivedAtMilliseconds = arrivedAtMilliseconds,
                 endsAtMilliseconds = arrivedAtMilliseconds + minOf(deadline, route.timeoutMilliseconds),
@@ -54,6 +57,9 @@
         )
     }
 
+    private fun refine(prompt: PromptProfile, route: Route, organisation: Organisation?): PromptProfile =
+        estimates.refine(prompt, route, organisation?.id ?: CallerRequest.ANONYMOUS)
+
     /** Whether a request of [organisation] may be sent to a target now. */
     fun isKeyCurrent(organisation: Organisation?): Boolean =
         organisation == null || register.isFresh(maximumAgeMilliseconds())
