Let a broken-off request go before others, and let the allowance fall evenly towards the share

A resumed stream was refused as overloaded and so broke off for good; keys were refused for a moment when the watch was cut after 2.2 s of silence, as a waiting call took 2 s.

--- a/core/src/main/kotlin/toucanrelay/core/overload/AdmissionAllowance.kt
+++ b/core/src/main/kotlin/toucanrelay/core/overload/AdmissionAllowance.kt
@@ -13,28 +13,33 @@
      * @param objectiveMilliseconds the route's latency objective.
      * @param servedPerSecond what the organisation gets now, over the fleet.
      * @param levelPerSecond the max-min level of all organisations' demands.
-     * @param hasReturned whether the caller comes back after a refusal.
+     * @param standing what the request has behind it.
      */
     public fun milliseconds(
         objectiveMilliseconds: Long,
         servedPerSecond: Double,
         levelPerSecond: Double,
-        hasReturned: Boolean,
+        standing: RequestStanding,
     ): Double {
+        val partOfShare = servedPerSecond / levelPerSecond
         val factor =
-            when {
-                servedPerSecond > levelPerSecond * OVER_SHARE -> FACTOR_OVER_SHARE
-                hasReturned -> FACTOR_RETURNED
-                servedPerSecond > levelPerSecond * NEAR_SHARE -> FACTOR_NEAR_SHARE
-                else -> FACTOR_BELOW_SHARE
+            when (standing) {
+                RequestStanding.NEW -> factorAt(partOfShare)
+                RequestStanding.RETURNED -> if (partOfShare < 1) FACTOR_RETURNED else factorAt(partOfShare)
+                RequestStanding.BEGUN -> FACTOR_BEGUN
             }
         return objectiveMilliseconds * factor
     }
 
-    private const val OVER_SHARE = 1.1
-    private const val NEAR_SHARE = 0.8
-    private const val FACTOR_OVER_SHARE = 0.4
-    private const val FACTOR_NEAR_SHARE = 0.7
-    private const val FACTOR_BELOW_SHARE = 0.85
+    /** Falls from the largest factor to the smallest as the organisation comes up to its share. */
+    private fun factorAt(partOfShare: Double): Double {
+        val above = ((partOfShare - FULL_ROOM_UP_TO) / (1 - FULL_ROOM_UP_TO)).coerceIn(0.0, 1.0)
+        return LARGEST_FACTOR - above * (LARGEST_FACTOR - SMALLEST_FACTOR)
+    }
+
+    private const val FULL_ROOM_UP_TO = 0.3
+    private const val LARGEST_FACTOR = 0.9
+    private const val SMALLEST_FACTOR = 0.4
     private const val FACTOR_RETURNED = 1.2
+    private const val FACTOR_BEGUN = 2.0
 }
--- a/core/src/main/kotlin/toucanrelay/core/target/ColdStartAllowance.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/ColdStartAllowance.kt
@@ -28,8 +28,10 @@
         val hashOfTarget = StableHash.of(target.value)
         return members
             .distinct()
-            .sortedByDescending { StableHash.toUnit(StableHash.combine(hashOfTarget, StableHash.of(it.value))) }
+            .map { it to StableHash.toUnit(StableHash.combine(hashOfTarget, StableHash.of(it.value))) }
+            .sortedByDescending { (_, weight) -> weight }
             .take(most)
+            .map { (member, _) -> member }
     }
 
     private const val LEAST_PART_PER_SECOND = 2.0
--- /dev/null
+++ b/core/src/test/kotlin/toucanrelay/core/configuration/ConfigurationRegisterTest.kt
@@ -0,0 +1,83 @@
+package toucanrelay.core.configuration
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.persistentSetOf
+import toucanrelay.core.time.ManualClock
+
+private fun route(prefix: String) =
+    Route(
+        name = prefix,
+        host = "host",
+        pathPrefix = prefix,
+        kind = RouteKind.IDEMPOTENT,
+        timeoutMilliseconds = 1_000,
+        latencyObjectiveMilliseconds = 100,
+        rank = 0,
+        services = persistentListOf(WeightedService("service", 1.0)),
+        maximumAttempts = 1,
+        isAnonymous = false,
+        isResumable = false,
+        allowedRegions = persistentSetOf(),
+    )
+
+private fun configuration(version: Long, vararg prefixes: String) =
+    Configuration(
+        version = version,
+        routes = persistentListOf(*prefixes.map { route(it) }.toTypedArray()),
+        services = persistentMapOf(),
+        organisations = persistentListOf(),
+        limits = CallerLimits(1_000, 1_000, null),
+    )
+
+class ConfigurationRegisterTest :
+    DescribeSpec({
+        describe("the configuration in force") {
+            it("never goes back to an older version") {
+                val register = ConfigurationRegister(ManualClock())
+                register.offer(configuration(5)) shouldBe true
+                register.offer(configuration(4)) shouldBe false
+                register.offer(configuration(5)) shouldBe false
+                register.current?.version shouldBe 5
+            }
+
+            it("is not fresh before the store has confirmed it") {
+                ConfigurationRegister(ManualClock()).isFresh(1_000) shouldBe false
+            }
+
+            it("ages from before the question was sent") {
+                val clock = ManualClock()
+                val register = ConfigurationRegister(clock)
+                val askedAt = clock.nowMilliseconds()
+                clock.advance(700)
+                register.confirm(askedAt)
+                register.isFresh(700) shouldBe true
+                clock.advance(1)
+                register.isFresh(700) shouldBe false
+            }
+
+            it("is not made older by an answer that arrives late") {
+                val clock = ManualClock(1_000)
+                val register = ConfigurationRegister(clock)
+                register.confirm(1_000)
+                register.confirm(400)
+                register.ageMilliseconds() shouldBe 0
+            }
+        }
+
+        describe("the route of a path") {
+            val configuration = configuration(1, "/a/", "/a/b/", "/c/")
+
+            it("is the one with the longest prefix") {
+                configuration.routeOf("host", "/a/b/x")?.pathPrefix shouldBe "/a/b/"
+                configuration.routeOf("host", "/a/bx")?.pathPrefix shouldBe "/a/"
+            }
+
+            it("is none when no prefix begins the path or the host is another") {
+                configuration.routeOf("host", "/d/") shouldBe null
+                configuration.routeOf("other", "/a/") shouldBe null
+            }
+        }
+    })
--- /dev/null
+++ b/core/src/test/kotlin/toucanrelay/core/retry/FleetRetryBudgetTest.kt
@@ -0,0 +1,52 @@
+package toucanrelay.core.retry
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import toucanrelay.core.time.ManualClock
+import kotlin.random.Random
+
+private val TERMS = RetryBudgetTerms(ratio = 0.2, reserve = 54.0, windowMilliseconds = 10_000)
+
+class FleetRetryBudgetTest :
+    DescribeSpec({
+        describe("the retries of all instances together") {
+            it("stay within the fleet's budget in every window, however eagerly they try") {
+                checkAll(PropTestConfig(seed = 9, iterations = 30), Arb.int(1..40)) { instances ->
+                    val clock = ManualClock()
+                    val random = Random(instances)
+                    val budgets = List(instances) { FleetRetryBudget(clock, TERMS) }
+                    val requests = ArrayDeque<Long>()
+                    val retries = ArrayDeque<Long>()
+                    repeat(3_000) {
+                        clock.advance(10)
+                        val now = clock.nowMilliseconds()
+                        val budget = budgets.random(random)
+                        if (random.nextDouble() < 0.3) {
+                            budget.noteRequest()
+                            requests += now
+                        }
+                        if (budget.tryTake(instances)) retries += now
+                        listOf(requests, retries).forEach { of ->
+                            while (of.isNotEmpty() && of.first() <= now - TERMS.windowMilliseconds) of.removeFirst()
+                        }
+                        val bound = TERMS.ratio * requests.size + TERMS.reserve
+                        retries.size.toDouble() shouldBeLessThanOrEqual bound
+                    }
+                }
+            }
+
+            it("are possible again when the window has passed") {
+                val clock = ManualClock()
+                val budget = FleetRetryBudget(clock, TERMS.copy(ratio = 0.0, reserve = 2.0))
+                budget.tryTake(1) shouldBe true
+                budget.tryTake(1) shouldBe false
+                clock.advance(TERMS.windowMilliseconds)
+                budget.tryTake(1) shouldBe true
+            }
+        }
+    })
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
@@ -67,7 +67,7 @@
         waiters.add(waiter)
         var isInTime = false
         try {
-            isInTime = withTimeoutOrNull(longestWait(waiter.request)) { waiter.isPlaced.await() } != null
+            isInTime = withTimeoutOrNull(longestWait(waiter)) { waiter.isPlaced.await() } != null
         } finally {
             waiters.remove(waiter)
             if (!isInTime) waiter.abandon()
@@ -88,10 +88,14 @@
     }
 
     private val order: Comparator<Waiter> =
-        compareBy<Waiter> { shares.servedPerSecond(it.request.account) }.thenBy { !it.request.hasReturned }
+        compareBy<Waiter> { it.excluded.isEmpty() }
+            .thenBy { shares.servedPerSecond(it.request.account) }
+            .thenBy { !it.request.hasReturned }
 
-    private fun longestWait(request: CallerRequest): Long {
+    private fun longestWait(waiter: Waiter): Long {
+        val request = waiter.request
         val objective = request.route.latencyObjectiveMilliseconds
+        if (waiter.excluded.isNotEmpty()) return (objective * WAIT_OF_BEGUN).toLong()
         val part = if (request.hasReturned) WAIT_OF_RETURNED else WAIT_OF_NEW
         val waited = clock.nowMilliseconds() - request.arrivedAtMilliseconds
         val left = request.endsAtMilliseconds - clock.nowMilliseconds()
@@ -102,5 +106,6 @@
         const val DRAIN_DELAY_MILLISECONDS = 8L
         const val WAIT_OF_NEW = 0.35
         const val WAIT_OF_RETURNED = 0.8
+        const val WAIT_OF_BEGUN = 1.5
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -5,6 +5,7 @@
 import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.TargetId
 import toucanrelay.core.overload.AdmissionAllowance
+import toucanrelay.core.overload.RequestStanding
 import toucanrelay.core.placement.Candidate
 import toucanrelay.core.placement.Distance
 import toucanrelay.core.placement.EngineSpeed
@@ -58,7 +59,7 @@
         if (untried.isEmpty()) return PlacingResult.NoTarget
         val usable = usable(untried, request.service)
         val candidates = usable.map { candidateOf(it, request.prompt, request.service) }
-        val placement = choose(request, candidates) ?: return PlacingResult.Busy
+        val placement = choose(request, candidates, standingOf(request, excluded)) ?: return PlacingResult.Busy
         return PlacingResult.Placed(
             take(request, usable.first { it.target.id == placement.target }, placement, onRelease),
         )
@@ -73,9 +74,8 @@
         val candidates = usable.map { candidateOf(it, prompt, request.service) }
         val withRoom = candidates.filter { PlacementPolicy.hasRoom(prompt, it) }
         val unread = withRoom.minOfOrNull { it.load.unreadTokens }
-        return "$counts with room ${withRoom.size} least unread $unread allowed ms ${allowedMilliseconds(
-            request,
-        ).toInt()}"
+        val allowed = allowedMilliseconds(request, standingOf(request, emptySet())).toInt()
+        return "$counts with room ${withRoom.size} least unread $unread allowed ms $allowed"
     }
 
     /** How fast the engines of [service] read prompts. */
@@ -85,19 +85,32 @@
             EngineSpeed(tokensPerSecond?.let { it / engines / MILLISECONDS_IN_A_SECOND } ?: DEFAULT_SPEED)
         }
 
-    private fun choose(request: CallerRequest, candidates: List<Candidate>): Placement? {
+    private fun standingOf(request: CallerRequest, excluded: Set<TargetId>): RequestStanding =
+        when {
+            excluded.isNotEmpty() -> RequestStanding.BEGUN
+            request.hasReturned -> RequestStanding.RETURNED
+            else -> RequestStanding.NEW
+        }
+
+    private fun choose(request: CallerRequest, candidates: List<Candidate>, standing: RequestStanding): Placement? {
         val prompt = request.prompt ?: return PlacementPolicy.placeServiceCall(candidates, SERVICE_QUEUE_FACTOR)
-        val waited = clock.nowMilliseconds() - request.arrivedAtMilliseconds
+        val sinceArrival = clock.nowMilliseconds() - request.arrivedAtMilliseconds
+        val waited = if (standing == RequestStanding.BEGUN) 0 else sinceArrival
         val speed = speedOf(request.service, request.configuration.limits.tokensPerSecond)
-        return PlacementPolicy.placeModelCall(prompt, candidates, speed, allowedMilliseconds(request) - waited)
+        return PlacementPolicy.placeModelCall(
+            prompt,
+            candidates,
+            speed,
+            allowedMilliseconds(request, standing) - waited,
+        )
     }
 
-    private fun allowedMilliseconds(request: CallerRequest): Double =
+    private fun allowedMilliseconds(request: CallerRequest, standing: RequestStanding): Double =
         AdmissionAllowance.milliseconds(
             request.route.latencyObjectiveMilliseconds,
             shares.servedPerSecond(request.account),
             shares.levelPerSecond(request.configuration.limits.tokensPerSecond),
-            request.hasReturned,
+            standing,
         )
 
     private fun usable(serving: List<ServingTarget>, service: ServiceTerms): List<ServingTarget> {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
@@ -18,7 +18,7 @@
     private val log: EventLog,
 ) : FollowedTable<OperatorEntry> {
     override val name = "operators"
-    override val waitMilliseconds = 2_000L
+    override val waitMilliseconds = 1_500L
     override val pauseMilliseconds = 0L
 
     override suspend fun read(): Result<Snapshot<OperatorEntry>, StoreError> = table.read()
--- /dev/null
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -0,0 +1,127 @@
+package toucanrelay.gateway
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import toucanrelay.gateway.settings.Bounds
+import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.platform.standin.ConfigurationStandIn
+import toucanrelay.platform.standin.ModelCallStandIn
+import toucanrelay.platform.standin.StoreStandIn
+import toucanrelay.platform.standin.TargetStandIn
+import toucanrelay.platform.standin.configurationDocument
+import java.net.ServerSocket
+import java.nio.file.Path
+
+internal const val KEY = "key-1"
+internal const val LIMIT_MILLISECONDS = 20_000L
+
+/** An answer as a caller sees it. */
+internal class SeenAnswer(
+    val status: Int,
+    val headers: Map<String, String>,
+    val body: String,
+)
+
+/** A gateway between a stand-in of the store and stand-ins of targets, on free ports of the loopback. */
+internal class GatewayFixture {
+    val vertx: Vertx = Vertx.vertx()
+    val store = StoreStandIn(vertx)
+    val targets = listOf(TargetStandIn(vertx, "target-1"), TargetStandIn(vertx, "target-2"))
+    private val client: HttpClient = vertx.createHttpClient()
+    private val port = freePort()
+    private val readinessPort = freePort()
+    lateinit var gateway: Gateway
+
+    suspend fun start(revocationMilliseconds: Double = 5_000.0) {
+        store.start()
+        targets.forEach { it.start() }
+        targets.forEach { store.putRegistration(it.id, it.registration("models", "domain")) }
+        store.putConfiguration(configuration(1))
+        gateway = Gateway(settings(revocationMilliseconds), Path.of("/nowhere"))
+        gateway.start()
+        eventually { send("/calls/x").status == 200 }
+        targets.forEach { it.received.clear() }
+    }
+
+    suspend fun stop() {
+        gateway.stop()
+        vertx.close().coAwait()
+    }
+
+    fun configuration(version: Long, vararg keys: String = arrayOf(KEY)) =
+        configurationDocument(version) {
+            route("/calls/", "models", "idempotent")
+            route("/orders/", "models", "non_idempotent", attempts = 2)
+            route("/streams/", "models", "streaming", isResumable = true)
+            route("/chats/", "models", "streaming", isResumable = false)
+            route("/open/", "models", "idempotent", isAnonymous = true)
+            route("/far/", "models", "idempotent", regions = listOf("elsewhere"))
+            service("models", coldPerSecond = 4.0, engineMemoryTokens = 100_000)
+            organisation("one", *keys)
+        }
+
+    suspend fun send(
+        path: String,
+        key: String? = KEY,
+        id: String = "id-${System.nanoTime()}",
+        body: String = "body",
+    ): SeenAnswer =
+        withTimeout(LIMIT_MILLISECONDS) {
+            val options =
+                RequestOptions()
+                    .setMethod(HttpMethod.POST)
+                    .setHost(LOOPBACK)
+                    .setPort(port)
+                    .setURI(path)
+            val request = client.request(options).coAwait()
+            request.putHeader("Host", ConfigurationStandIn.HOST)
+            ModelCallStandIn.write(request.headers(), key, id = id)
+            request
+                .send(Buffer.buffer(body))
+                .compose { response ->
+                    val headers = response.headers().associate { (name, value) -> name.lowercase() to value }
+                    response.body().map { SeenAnswer(response.statusCode(), headers, it.toString()) }
+                }.coAwait()
+        }
+
+    /** Whether the answer broke off so that the caller sees it. */
+    suspend fun breaksOff(path: String): Boolean = runCatching { send(path) }.isFailure
+
+    suspend fun readiness(): Int =
+        client
+            .request(HttpMethod.GET, readinessPort, LOOPBACK, "/")
+            .compose { it.send() }
+            .map { it.statusCode() }
+            .coAwait()
+
+    suspend fun eventually(condition: suspend () -> Boolean) {
+        withTimeout(LIMIT_MILLISECONDS) { while (!condition()) delay(20) }
+    }
+
+    fun receivedCount() = targets.sumOf { it.received.size }
+
+    private fun settings(revocationMilliseconds: Double) =
+        GatewaySettings(
+            instance = "gateway-1",
+            failureDomain = "domain",
+            regions = mapOf("domain" to "region"),
+            address = LOOPBACK,
+            callersAddress = "$LOOPBACK:$port",
+            readinessAddress = "$LOOPBACK:$readinessPort",
+            memberPorts = freePort().let { listOf(it, it + 1) },
+            storeAddress = store.address.toString(),
+            bounds = Bounds(2_500.0, revocationMilliseconds, 2_500.0, 5_000.0, 4.0, 0.2, 50.0, 10.0),
+        )
+
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
@@ -0,0 +1,238 @@
+package toucanrelay.gateway
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import toucanrelay.platform.standin.StoreBehaviour
+import toucanrelay.platform.standin.TargetScript
+
+class GatewayTest :
+    DescribeSpec({
+        lateinit var fixture: GatewayFixture
+
+        suspend fun start(revocationMilliseconds: Double = 5_000.0) {
+            fixture = GatewayFixture()
+            fixture.start(revocationMilliseconds)
+        }
+
+        fun script(script: TargetScript) = fixture.targets.forEach { it.script = script }
+
+        afterEach { fixture.stop() }
+
+        describe("a served request") {
+            it("gets the target's own answer, and the target gets who asks but not the key") {
+                start()
+                val answer = fixture.send("/calls/x?q=1", id = "request-1")
+                answer.status shouldBe 200
+                answer.body shouldBe "hello"
+                answer.headers["x-response-seal"] shouldNotBe null
+                val received = fixture.targets.flatMap { it.received }.single()
+                received.path shouldBe "/calls/x?q=1"
+                received.body shouldBe "body"
+                received.headers["x-request-id"] shouldBe "request-1"
+                received.headers["x-tenant-id"] shouldBe "one"
+                received.headers["x-key"] shouldBe null
+            }
+        }
+
+        describe("a request that the configuration does not allow") {
+            it("is told so, and no target sees it") {
+                start()
+                fixture.send("/calls/x", key = "other").status shouldBe 401
+                fixture.send("/calls/x", key = null).status shouldBe 401
+                fixture.send("/nothing/").status shouldBe 404
+                fixture.receivedCount() shouldBe 0
+            }
+
+            it("is refused at once where no target may serve it") {
+                start()
+                val answer = fixture.send("/far/x")
+                answer.status shouldBe 503
+                answer.headers["retry-after"] shouldNotBe null
+                fixture.receivedCount() shouldBe 0
+            }
+
+            it("is refused when its body is larger than allowed") {
+                start()
+                fixture.send("/calls/x", body = "x".repeat(70_000)).status shouldBe 413
+                fixture.receivedCount() shouldBe 0
+            }
+        }
+
+        describe("a stream") {
+            it("that breaks within an event goes on at another target, each event once") {
+                start()
+                script { request, got, helper ->
+                    if (got.headers["last-event-id"] == null) {
+                        helper.answerStream(request, got, 1, 3, isCut = true)
+                    } else {
+                        helper.answerStream(request, got, got.headers.getValue("last-event-id").toInt() + 1, 6)
+                    }
+                }
+                val answer = fixture.send("/streams/x")
+                Regex("id: (\\d+)").findAll(answer.body).map { it.groupValues[1] }.toList() shouldBe
+                    listOf("1", "2", "3", "4", "5", "6")
+                fixture.receivedCount() shouldBe 2
+            }
+
+            it("that may not be resumed is broken off visibly and runs once") {
+                start()
+                script { request, got, helper -> helper.answerStream(request, got, 1, 3, isCut = true) }
+                fixture.breaksOff("/chats/x") shouldBe true
+                fixture.receivedCount() shouldBe 1
+            }
+
+            it("whose second part skips an event is broken off rather than joined") {
+                start()
+                script { request, got, helper ->
+                    if (got.headers["last-event-id"] == null) {
+                        helper.answerStream(request, got, 1, 3, isCut = true)
+                    } else {
+                        helper.answerStream(request, got, 6, 8)
+                    }
+                }
+                fixture.breaksOff("/streams/x") shouldBe true
+            }
+        }
+
+        describe("a request that may run once only") {
+            it("is not sent again when its answer is lost, and no promise is given") {
+                start()
+                script { request, _, _ -> request.connection().close() }
+                fixture.send("/orders/x").status shouldBe 502
+                fixture.receivedCount() shouldBe 1
+            }
+
+            it("is sent to another target when the first one did not run it") {
+                start()
+                fixture.targets[0].script = TargetScript { request, got, helper -> helper.reject(request, got) }
+                repeat(4) { fixture.send("/orders/x").status shouldBe 200 }
+            }
+
+            it("may come back when no target ran it") {
+                start()
+                script { request, got, helper -> helper.reject(request, got) }
+                val answer = fixture.send("/orders/x")
+                answer.status shouldBe 503
+                answer.headers["retry-after"] shouldNotBe null
+            }
+        }
+
+        describe("an answer that is not the target's own") {
+            it("never reaches the caller as a success") {
+                start()
+                script { request, _, _ -> request.response().end("no seal") }
+                fixture.send("/calls/x").status shouldBe 502
+                script { request, _, _ ->
+                    request
+                        .response()
+                        .putHeader("X-Request-Id", "another")
+                        .putHeader("X-Response-Seal", "s")
+                        .end("another's")
+                }
+                fixture.send("/calls/x").status shouldBe 502
+            }
+
+            it("leaves a target's own failure as it is") {
+                start()
+                script { request, got, helper -> helper.answerWhole(request, got, "broken", status = 500) }
+                val answer = fixture.send("/orders/x")
+                answer.status shouldBe 500
+                answer.body shouldBe "broken"
+            }
+        }
+
+        describe("a key that is taken away") {
+            it("is refused as soon as the change arrives") {
+                start()
+                fixture.store.putConfiguration(fixture.configuration(2, "key-2"))
+                fixture.eventually { fixture.send("/calls/x").status == 401 }
+                fixture.send("/calls/x", key = "key-2").status shouldBe 200
+            }
+
+            it("is not trusted once the store has been silent for too long, while open routes are served on") {
+                start(revocationMilliseconds = 2_800.0)
+                fixture.store.behaviour = StoreBehaviour.SILENT
+                fixture.eventually { fixture.send("/calls/x").status == 503 }
+                fixture.send("/open/x", key = null).status shouldBe 200
+                fixture.readiness() shouldBe 503
+                fixture.store.behaviour = StoreBehaviour.SERVE
+                fixture.eventually { fixture.send("/calls/x").status == 200 }
+            }
+        }
+
+        describe("a configuration") {
+            it("never goes back, also when the store forgets its history") {
+                start()
+                fixture.store.putConfiguration(fixture.configuration(5, "key-2"))
+                fixture.eventually { fixture.send("/calls/x", key = "key-2").status == 200 }
+                fixture.store.putConfiguration(fixture.configuration(4))
+                fixture.store.compact()
+                delay(300)
+                fixture.send("/calls/x").status shouldBe 401
+            }
+        }
+
+        describe("a target") {
+            it("that leaves gets nothing more") {
+                start()
+                val leaving = fixture.targets[0]
+                fixture.store.putRegistration(leaving.id, leaving.registration("models", "domain", state = "draining"))
+                delay(1_500)
+                leaving.received.clear()
+                repeat(10) { fixture.send("/calls/x").status shouldBe 200 }
+                leaving.received.size shouldBe 0
+            }
+
+            it("whose failure domain is out of service gets nothing until it is back") {
+                start()
+                fixture.store.putOutOfService("domain", true)
+                fixture.eventually { fixture.send("/calls/x").status == 503 }
+                fixture.store.putOutOfService("domain", false)
+                fixture.eventually { fixture.send("/calls/x").status == 200 }
+            }
+
+            it("at whose address another one answers is not tried again") {
+                start()
+                val replaced = fixture.targets[0]
+                replaced.script = TargetScript { request, got, helper -> helper.reject(request, got, status = 421) }
+                repeat(10) { fixture.send("/calls/x").status shouldBe 200 }
+                replaced.received.size shouldBeLessThanOrEqual 1
+            }
+
+            it("that is cold gets no more than it bears") {
+                start()
+                fixture.targets.forEach {
+                    fixture.store.putRegistration(it.id, it.registration("models", "domain", coldMilliseconds = 60_000))
+                }
+                delay(1_500)
+                fixture.targets.forEach { it.received.clear() }
+                coroutineScope { (1..40).map { async { fixture.send("/calls/x").status } }.forEach { it.await() } }
+                fixture.targets.forEach { it.received.size shouldBeLessThanOrEqual 4 + 4 }
+                fixture.receivedCount() shouldBeGreaterThan 0
+            }
+        }
+
+        describe("a shutdown") {
+            it("serves what is under way to its end and is no longer ready") {
+                start()
+                fixture.readiness() shouldBe 200
+                script { request, got, helper ->
+                    fixture.vertx.setTimer(1_500) { helper.answerWhole(request, got, "late") }
+                }
+                coroutineScope {
+                    val answer = async { fixture.send("/calls/x") }
+                    fixture.eventually { fixture.receivedCount() == 1 }
+                    val stopped = async { fixture.gateway.stop() }
+                    fixture.eventually { fixture.readiness() == 503 }
+                    answer.await().body shouldBe "late"
+                    stopped.await()
+                }
+            }
+        }
+    })
