--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -106,10 +106,14 @@
     }
 
     private fun readiness(): PlainPage {
-        val isReady = !parts.server.isDraining && parts.configurations.isFresh(parts.maximumAgeMilliseconds())
-        return if (isReady) PlainPage(STATUS_OK, "ready\n") else PlainPage(STATUS_UNAVAILABLE, "not ready\n")
+        return if (isReady()) PlainPage(STATUS_OK, "ready\n") else PlainPage(STATUS_UNAVAILABLE, "not ready\n")
     }
 
+    private fun isReady(): Boolean =
+        !parts.server.isDraining &&
+            parts.configurations.isFresh(parts.maximumAgeMilliseconds()) &&
+            parts.targets.present().isNotEmpty()
+
     private fun every(milliseconds: Long, action: () -> Unit) {
         vertx.setPeriodic(milliseconds) { action() }
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
@@ -18,7 +18,10 @@
 ) : FollowedTable<RegistrationChange> {
     override val name = "targets"
     override val waitMilliseconds = 0L
-    override val pauseMilliseconds = 800L
+
+    /** A process that knows no target yet cannot serve, so it asks again soon. */
+    override val pauseMilliseconds: Long
+        get() = if (register.present().isEmpty()) PAUSE_WITHOUT_TARGETS_MILLISECONDS else PAUSE_MILLISECONDS
 
     override suspend fun read(): Result<Snapshot<RegistrationChange>, StoreError> = table.read()
 
@@ -65,4 +68,9 @@
             "coldMs" to registration.coldMilliseconds,
         )
     }
+
+    private companion object {
+        const val PAUSE_MILLISECONDS = 800L
+        const val PAUSE_WITHOUT_TARGETS_MILLISECONDS = 150L
+    }
 }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
@@ -218,6 +218,21 @@
             }
         }
 
+        describe("a process that knows no target") {
+            it("is not ready, and serves soon after the first registration") {
+                start()
+                fixture.targets.forEach { fixture.store.putRegistration(it.id, null) }
+                fixture.eventually { fixture.readiness() == 503 }
+                fixture.store.calls.let { before ->
+                    delay(700)
+                    (fixture.store.calls - before) shouldBeGreaterThan 2
+                }
+                val back = fixture.targets[0]
+                fixture.store.putRegistration(back.id, back.registration("models", "domain"))
+                fixture.eventually { fixture.readiness() == 200 && fixture.send("/calls/x").status == 200 }
+            }
+        }
+
         describe("a shutdown") {
             it("serves what is under way to its end and is no longer ready") {
                 start()
