--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -57,14 +57,17 @@
         private set
 
     /** Whether the target's silence may be answered by a run elsewhere. */
-    val mayRunAgain: Boolean
-        get() = request.route.mayRunAgain
+    val mayRunElsewhere: Boolean
+        get() = request.route.mayRunAgain && progress.attempts < request.route.maximumAttempts
+
+    /** How long a sound target may send nothing at all while it works on the request. */
+    val longestSilenceMilliseconds: Double
+        get() = SHORTEST_SILENCE_MILLISECONDS + expectedMilliseconds + silenceOfWork()
 
     /** The target's state. */
     val target = ticket.target
 
-    /** Expected time to the first event. */
-    val expectedMilliseconds: Double
+    private val expectedMilliseconds: Double
         get() = ticket.placement.expectedMilliseconds
 
     /** Runs the attempt; when it is cancelled, the target drops the request. */
@@ -237,6 +240,10 @@
         return AttemptResult.Unanswered(TargetOutcome.UNKNOWN, detail)
     }
 
+    /** A plain service says nothing while it works, unlike an engine, which sends events for someone all the time. */
+    private fun silenceOfWork(): Double =
+        if (request.prompt != null) 0.0 else request.route.latencyObjectiveMilliseconds * OBJECTIVES_OF_SILENT_WORK
+
     private fun giveBack() {
         val used = connection ?: return
         if (isWhole) target.connections.release(used) else target.connections.discard(used)
@@ -247,6 +254,8 @@
         if (request.route.mayRunAgain) LONGEST_IDLE_MILLISECONDS else LONGEST_IDLE_AT_MOST_ONCE_MILLISECONDS
 
     private companion object {
+        const val SHORTEST_SILENCE_MILLISECONDS = 900.0
+        const val OBJECTIVES_OF_SILENT_WORK = 2.0
         const val FIRST_SERVER_ERROR = 500
         const val LARGEST_WHOLE_BODY_BYTES = 8 * 1_024 * 1_024
         const val LONGEST_IDLE_MILLISECONDS = 4_000L
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/SilenceWatch.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/SilenceWatch.kt
@@ -6,7 +6,7 @@
  * Finds attempts at targets that have gone silent, so that requests that may run again go elsewhere in time.
  *
  * An engine sends events for someone all the time, so silence on all connections tells a lost target or path from one
- * that is merely busy. A request that may run only once is left to its deadline.
+ * that is merely busy. A request that may not run elsewhere is left to its deadline.
  */
 internal class SilenceWatch(
     private val clock: Clock,
@@ -26,15 +26,11 @@
     /** Abandons the attempts whose targets have been silent for too long; called several times a second. */
     fun sweep() {
         val now = clock.nowMilliseconds()
-        attempts.filter { it.mayRunAgain && isSilent(it, now) }.forEach { it.abandon() }
+        attempts.filter { it.mayRunElsewhere && isSilent(it, now) }.forEach { it.abandon() }
     }
 
     private fun isSilent(attempt: Attempt, now: Long): Boolean {
         val lastSign = maxOf(attempt.sentAtMilliseconds, attempt.target.health.heardAtMilliseconds)
-        return now - lastSign > SHORTEST_SILENCE_MILLISECONDS + attempt.expectedMilliseconds
-    }
-
-    private companion object {
-        const val SHORTEST_SILENCE_MILLISECONDS = 900L
+        return now - lastSign > attempt.longestSilenceMilliseconds
     }
 }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
@@ -100,6 +100,24 @@
             }
         }
 
+        describe("a target that is silent") {
+            it("loses a request that may run elsewhere") {
+                start()
+                script { request, got, helper -> helper.answerStream(request, got, 1, 3) }
+                fixture.targets[0].script = TargetScript { _, _, _ -> }
+                repeat(4) { fixture.send("/streams/x").status shouldBe 200 }
+            }
+
+            it("keeps a request that it works on when no further target may get it") {
+                start()
+                script { request, got, helper ->
+                    fixture.vertx.setTimer(2_500) { helper.answerWhole(request, got, "slow") }
+                }
+                fixture.send("/orders/x").body shouldBe "slow"
+                fixture.receivedCount() shouldBe 1
+            }
+        }
+
         describe("a request that may run once only") {
             it("is not sent again when its answer is lost, and no promise is given") {
                 start()
