--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -15,7 +15,7 @@
     private val parts: GatewayParts,
     private val incarnation: Long,
 ) {
-    private val exchange = MemberExchange(parts.vertx, parts.fleet, ::take)
+    private val exchange = MemberExchange(parts.vertx, parts.fleet, parts.log, ::take)
     private var sequence = 0L
 
     /** Binds the port for digests. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -38,6 +38,7 @@
     private val incarnation = EpochClock.nowMilliseconds()
     private val digests = DigestSender(parts, incarnation)
     private val members = MemberTable(parts.store)
+    private var settingsModifiedAt = lastModified()
 
     /** Binds all ports and begins to follow the store. */
     suspend fun start(): Unit =
@@ -52,6 +53,7 @@
             every(DIGEST_MILLISECONDS) { digests.send() }
             every(SILENCE_SWEEP_MILLISECONDS) { parts.silence.sweep() }
             every(POOL_SWEEP_MILLISECONDS) { parts.pool.sweep() }
+            every(SETTINGS_CHECK_MILLISECONDS) { reloadIfChanged() }
         }
 
     /** Reads the settings file again; settings that cannot be used are reported and the old ones stay. */
@@ -64,6 +66,16 @@
             }.onFailure { parts.log.write("reload-failed", "detail" to it.detail) }
     }
 
+    /** The settings file may change without a signal. */
+    private fun reloadIfChanged() {
+        val modifiedAt = lastModified()
+        if (modifiedAt == settingsModifiedAt) return
+        settingsModifiedAt = modifiedAt
+        reload()
+    }
+
+    private fun lastModified(): Long = settingsFile.toFile().lastModified()
+
     /** Serves what is under way to its end, within the time that the settings leave, and closes all ports. */
     suspend fun stop(): Unit =
         withContext(dispatcher) {
@@ -127,6 +139,7 @@
         const val MILLISECONDS_IN_A_SECOND = 1_000.0
         const val DIGEST_MILLISECONDS = 200L
         const val SILENCE_SWEEP_MILLISECONDS = 250L
+        const val SETTINGS_CHECK_MILLISECONDS = 2_000L
         const val POOL_SWEEP_MILLISECONDS = 1_000L
         const val JOIN_RETRY_MILLISECONDS = 500L
         const val MEMBERS_READ_MILLISECONDS = 10_000L
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -64,6 +64,7 @@
     }
 
     private fun watchCaller(request: HttpServerRequest, responder: CallerResponder, job: Job) {
+        // A failed write is followed by the close of the connection, which is handled.
         request.response().exceptionHandler { }
         request.response().closeHandler { if (!responder.hasEnded) job.cancel(CallerGone()) }
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
@@ -16,7 +16,6 @@
     UNKNOWN_KEY("unknown-key", 401, false),
     UNKNOWN_ROUTE("unknown-route", 404, false),
     BODY_TOO_LARGE("body-too-large", 413, false),
-    HEADERS_TOO_LARGE("headers-too-large", 431, false),
 
     /** No configuration is known yet. */
     NO_CONFIGURATION("no-configuration", 503, true),
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberExchange.kt
@@ -7,16 +7,17 @@
 import io.vertx.core.datagram.DatagramSocket
 import io.vertx.core.datagram.DatagramSocketOptions
 import io.vertx.kotlin.coroutines.coAwait
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
 import toucanrelay.core.target.TargetAddress
+import toucanrelay.gateway.log.EventLog
 
 /** Sends this member's digests to the others as datagrams, and takes theirs. */
 internal class MemberExchange(
     vertx: Vertx,
     private val view: FleetView,
+    private val log: EventLog,
     private val onDigest: (MemberDigest) -> Unit,
 ) {
     private val socket: DatagramSocket = vertx.createDatagramSocket(DatagramSocketOptions())
@@ -36,14 +37,15 @@
     }
 
     private fun receive(data: Buffer, from: TargetAddress) {
-        val digest =
-            try {
-                ProtoBuf.decodeFromByteArray<MemberDigest>(data.bytes)
-            } catch (_: SerializationException) {
-                return
-            } catch (_: IllegalArgumentException) {
-                return
-            }
+        val digest = decode(data, from) ?: return
         if (view.note(digest, from)) onDigest(digest)
     }
+
+    private fun decode(data: Buffer, from: TargetAddress): MemberDigest? =
+        try {
+            ProtoBuf.decodeFromByteArray<MemberDigest>(data.bytes)
+        } catch (malformed: IllegalArgumentException) {
+            log.write("digest-unreadable", "from" to from, "detail" to malformed.message)
+            null
+        }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
@@ -105,7 +105,14 @@
             readinessAddress = "$LOOPBACK:${freePort()}",
             memberPorts = listOf(freePort(), LAST_PORT),
             storeAddress = store.address.toString(),
-            bounds = Bounds(2_500.0, 5_000.0, 2_500.0, 5_000.0, 8.0, 0.2, 50.0, 10.0),
+            bounds =
+                Bounds(
+                    revocationMilliseconds = 5_000.0,
+                    shutdownSeconds = 8.0,
+                    retryRatio = 0.2,
+                    retryReserve = 50.0,
+                    retryWindowSeconds = 10.0,
+                ),
         )
 
     private fun freePort(): Int = ServerSocket(0).use { it.localPort }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
@@ -9,9 +9,7 @@
 /**
  * Bounds within which the fleet has to act.
  *
- * @property configurationMilliseconds from the acknowledgement of a configuration until it is in force.
  * @property revocationMilliseconds from the acknowledgement that a key is gone until no request with it runs.
- * @property leavingMilliseconds from the acknowledgement that a target leaves until it gets nothing more.
  * @property shutdownSeconds from SIGTERM until the process is killed.
  * @property retryRatio retries allowed for each request, over the fleet.
  * @property retryReserve retries allowed beside those in a window, over the fleet.
@@ -19,10 +17,7 @@
  */
 @Serializable
 public data class Bounds(
-    public val configurationMilliseconds: Double,
     public val revocationMilliseconds: Double,
-    public val leavingMilliseconds: Double,
-    public val failureDomainMilliseconds: Double,
     public val shutdownSeconds: Double,
     public val retryRatio: Double,
     public val retryReserve: Double,
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -8,6 +8,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.json.Json
 import toucanrelay.gateway.settings.Bounds
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.platform.standin.ConfigurationStandIn
@@ -38,12 +39,12 @@
     private val readinessPort = freePort()
     lateinit var gateway: Gateway
 
-    suspend fun start(revocationMilliseconds: Double = 5_000.0) {
+    suspend fun start(revocationMilliseconds: Double = 5_000.0, settingsFile: Path = Path.of("/nowhere")) {
         store.start()
         targets.forEach { it.start() }
         targets.forEach { store.putRegistration(it.id, it.registration("models", "domain")) }
         store.putConfiguration(configuration(1))
-        gateway = Gateway(settings(revocationMilliseconds), Path.of("/nowhere"))
+        gateway = Gateway(settings(revocationMilliseconds), settingsFile)
         gateway.start()
         eventually { send("/calls/x").status == 200 }
         targets.forEach { it.received.clear() }
@@ -104,8 +105,12 @@
         withTimeout(LIMIT_MILLISECONDS) { while (!condition()) delay(20) }
     }
 
+    fun settingsText(revocationMilliseconds: Double): String = Json.encodeToString(settings(revocationMilliseconds))
+
     fun receivedCount() = targets.sumOf { it.received.size }
 
+    private val memberPorts = freePort().let { listOf(it, it + 1) }
+
     private fun settings(revocationMilliseconds: Double) =
         GatewaySettings(
             instance = "gateway-1",
@@ -114,9 +119,16 @@
             address = LOOPBACK,
             callersAddress = "$LOOPBACK:$port",
             readinessAddress = "$LOOPBACK:$readinessPort",
-            memberPorts = freePort().let { listOf(it, it + 1) },
+            memberPorts = memberPorts,
             storeAddress = store.address.toString(),
-            bounds = Bounds(2_500.0, revocationMilliseconds, 2_500.0, 5_000.0, 4.0, 0.2, 50.0, 10.0),
+            bounds =
+                Bounds(
+                    revocationMilliseconds,
+                    shutdownSeconds = 4.0,
+                    retryRatio = 0.2,
+                    retryReserve = 50.0,
+                    retryWindowSeconds = 10.0,
+                ),
         )
 
     private fun freePort(): Int = ServerSocket(0).use { it.localPort }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/settings/SettingsLoaderTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/settings/SettingsLoaderTest.kt
@@ -10,8 +10,8 @@
 private const val WHOLE =
     """{"instance":"i","failureDomain":"d","regions":{"d":"r"},"address":"10.0.0.1","callersAddress":"10.0.0.1:80",
     "readinessAddress":"10.0.0.1:81","memberPorts":[7400,7415],"storeAddress":"10.0.0.2:90","later":1,
-    "bounds":{"configurationMilliseconds":2500,"revocationMilliseconds":5000,"leavingMilliseconds":2500,
-    "failureDomainMilliseconds":5000,"shutdownSeconds":8,"retryRatio":0.2,"retryReserve":54,"retryWindowSeconds":10}}"""
+    "bounds":{"revocationMilliseconds":5000,
+    "shutdownSeconds":8,"retryRatio":0.2,"retryReserve":54,"retryWindowSeconds":10}}"""
 
 class SettingsLoaderTest :
     DescribeSpec({
