--- a/core/src/main/kotlin/toucanrelay/core/overload/AdmissionAllowance.kt
+++ b/core/src/main/kotlin/toucanrelay/core/overload/AdmissionAllowance.kt
@@ -31,15 +31,23 @@
         return objectiveMilliseconds * factor
     }
 
-    /** Falls from the largest factor to the smallest as the organisation comes up to its share. */
+    /**
+     * Falls as the organisation comes up to its share, and on beyond it, so that of two organisations above their
+     * share the one that has got less goes first.
+     */
     private fun factorAt(partOfShare: Double): Double {
-        val above = ((partOfShare - FULL_ROOM_UP_TO) / (1 - FULL_ROOM_UP_TO)).coerceIn(0.0, 1.0)
-        return LARGEST_FACTOR - above * (LARGEST_FACTOR - SMALLEST_FACTOR)
+        val towards = ((partOfShare - FULL_ROOM_UP_TO) / (1 - FULL_ROOM_UP_TO)).coerceIn(0.0, 1.0)
+        val beyond = ((partOfShare - 1) / (NO_ROOM_FROM - 1)).coerceIn(0.0, 1.0)
+        return LARGEST_FACTOR -
+            towards * (LARGEST_FACTOR - FACTOR_AT_SHARE) -
+            beyond * (FACTOR_AT_SHARE - SMALLEST_FACTOR)
     }
 
     private const val FULL_ROOM_UP_TO = 0.3
+    private const val NO_ROOM_FROM = 2.0
     private const val LARGEST_FACTOR = 0.9
-    private const val SMALLEST_FACTOR = 0.4
+    private const val FACTOR_AT_SHARE = 0.4
+    private const val SMALLEST_FACTOR = 0.05
     private const val FACTOR_RETURNED = 1.2
     private const val FACTOR_BEGUN = 2.0
 }
--- a/core/src/test/kotlin/toucanrelay/core/overload/AdmissionAllowanceTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/overload/AdmissionAllowanceTest.kt
@@ -17,6 +17,10 @@
                 allowance(1_000.0) shouldBeGreaterThan 0.0
             }
 
+            it("prefers, of two organisations above their share, the one that has got less") {
+                allowance(180.0) shouldBeLessThan allowance(120.0)
+            }
+
             it("is the whole one for everybody while the capacity covers all demands") {
                 allowance(1_000.0, level = Double.POSITIVE_INFINITY) shouldBe allowance(0.0)
             }
