Count a stand-in's finished answers before its readers go on

The listed ModelEngineTest saw 5 and 4 of 6 completions: coroutines of the event loop go on in place, so a caller could have its whole answer (two of them with two slots) before the batch had counted it. The batch now counts first and announces last. ContinuousBatchTest shows the order without threads or ports: it saw 0 of 2 before and 2 of 2 now.

--- a/standins/src/main/kotlin/toucanrelay/standins/ContinuousBatch.kt
+++ b/standins/src/main/kotlin/toucanrelay/standins/ContinuousBatch.kt
@@ -96,10 +96,13 @@
         ready.forEach { it.generateToken() }
         generated.addAndGet(ready.size.toLong())
         val finished = ready.filter { it.isOver }
-        if (finished.isEmpty()) return
-        running.removeAll { it.isOver }
-        finished.forEach(onFinished)
-        admit()
+        if (finished.isNotEmpty()) {
+            running.removeAll { it.isOver }
+            finished.forEach(onFinished)
+            admit()
+        }
+        // Whoever has an answer may count on it being counted, so readers come last.
+        ready.forEach { it.announce() }
     }
 
     private fun admit() {
--- a/standins/src/main/kotlin/toucanrelay/standins/GenerationStream.kt
+++ b/standins/src/main/kotlin/toucanrelay/standins/GenerationStream.kt
@@ -55,7 +55,7 @@
         firstTokenAtNanoseconds = firstTokenAt
     }
 
-    /** Adds the next token, and the closing events after the last one. */
+    /** Adds the next token, and the closing events after the last one; readers see them after [announce]. */
     fun generateToken() {
         recorded += plan.tokenEvent(generatedTokens.value)
         generatedTokens.value += 1
@@ -63,6 +63,10 @@
             recorded += plan.closingEvents()
             phase = StreamPhase.FINISHED
         }
+    }
+
+    /** Lets readers see what was added; they may go on before this returns. */
+    fun announce() {
         changes.value += 1
     }
 
