--- a/core/src/main/kotlin/toucanrelay/core/configuration/Configuration.kt
+++ b/core/src/main/kotlin/toucanrelay/core/configuration/Configuration.kt
@@ -6,11 +6,16 @@
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.core.identity.RegionId
 
-/** An organisation and what it may use. */
+/**
+ * An organisation and what it may use.
+ *
+ * @property rank takes the place of the rank of the routes that it uses, where set.
+ */
 public data class Organisation(
     public val id: OrganisationId,
     public val keys: ImmutableSet<String>,
     public val allowedRegions: ImmutableSet<RegionId>,
+    public val rank: Int? = null,
 )
 
 /**
@@ -29,14 +34,12 @@
 /**
  * What the targets of a service bear.
  *
- * @property healthPath path of the health check.
  * @property maximumConnections connections that one target accepts from all callers together.
  * @property coldRequestsPerSecond requests that a cold target bears; null where a cold start has no bound.
  * @property engine set where the targets are model engines.
  */
 public data class ServiceTerms(
     public val name: String,
-    public val healthPath: String,
     public val maximumConnections: Int,
     public val coldRequestsPerSecond: Double?,
     public val engine: EngineTerms?,
@@ -45,6 +48,7 @@
 /**
  * Bounds on what a caller may send.
  *
+ * @property maximumHeaderBytes bound on the request line and all header lines together.
  * @property tokensPerSecond what all engines together produce, where prompt tokens count once and generated ones twice.
  */
 public data class CallerLimits(
--- a/core/src/main/kotlin/toucanrelay/core/overload/OrganisationUsage.kt
+++ b/core/src/main/kotlin/toucanrelay/core/overload/OrganisationUsage.kt
@@ -1,6 +1,7 @@
 package toucanrelay.core.overload
 
 import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.statistics.DecayingRate
 import toucanrelay.core.time.Clock
 
 /**
--- a/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
@@ -21,6 +21,7 @@
  * @property failureRate part of the recent requests that the target failed.
  * @property slots requests that the target runs at once.
  * @property memoryTokens memory of a model engine; null for a plain service.
+ * @property hash stable hash of [target].
  */
 public data class Candidate(
     public val target: TargetId,
@@ -31,6 +32,7 @@
     public val failureRate: Double,
     public val slots: Int,
     public val memoryTokens: Long?,
+    public val hash: Long = StableHash.of(target.value),
 )
 
 /**
@@ -69,9 +71,9 @@
         val ranks = ranksBySubject(prompt.subject, candidates)
         val leastUnread = candidates.minOfOrNull { unreadTokens(prompt, it) } ?: return null
         return candidates
-            .filter { hasRoom(prompt, it) }
-            .map { candidate -> Option(prompt, candidate, speed, leastUnread, ranks.getValue(candidate.target)) }
-            .filter { it.beginsWithin(allowedMilliseconds) }
+            .mapIndexedNotNull { index, candidate ->
+                if (hasRoom(prompt, candidate)) Option(prompt, candidate, speed, leastUnread, ranks[index]) else null
+            }.filter { it.beginsWithin(allowedMilliseconds) }
             .minByOrNull { it.cost }
             ?.placement
     }
@@ -96,12 +98,17 @@
             candidate.distance.costMilliseconds +
             candidate.failureRate * FAILURE_COST_MILLISECONDS
 
-    private fun ranksBySubject(subject: String?, candidates: List<Candidate>): Map<TargetId, Int> {
+    /** The place of each candidate in the order of [subject]; only the first few places differ. */
+    private fun ranksBySubject(subject: String?, candidates: List<Candidate>): IntArray {
         val hash = StableHash.of(subject.orEmpty())
-        return candidates
-            .sortedByDescending { StableHash.toUnit(StableHash.combine(hash, StableHash.of(it.target.value))) }
-            .withIndex()
-            .associate { (rank, candidate) -> candidate.target to minOf(rank, LAST_RANK) }
+        val weights = DoubleArray(candidates.size) { StableHash.toUnit(StableHash.combine(hash, candidates[it].hash)) }
+        val ranks = IntArray(candidates.size) { LAST_RANK }
+        repeat(minOf(LAST_RANK, candidates.size)) { rank ->
+            val heaviest = weights.indices.maxBy { weights[it] }
+            ranks[heaviest] = rank
+            weights[heaviest] = -1.0
+        }
+        return ranks
     }
 
     private const val USABLE_MEMORY = 0.9
--- a/core/src/main/kotlin/toucanrelay/core/placement/PrefixResidency.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PrefixResidency.kt
@@ -24,12 +24,6 @@
         evict()
     }
 
-    /** Forgets everything, after a restart of the engine. */
-    public fun clear() {
-        tokensByPart.clear()
-        totalTokens = 0
-    }
-
     private fun evict() {
         val oldestFirst = tokensByPart.entries.iterator()
         while (totalTokens > capacityTokens && oldestFirst.hasNext()) {
--- a/core/src/main/kotlin/toucanrelay/core/retry/FleetRetryBudget.kt
+++ b/core/src/main/kotlin/toucanrelay/core/retry/FleetRetryBudget.kt
@@ -1,6 +1,6 @@
 package toucanrelay.core.retry
 
-import toucanrelay.core.target.SlidingCount
+import toucanrelay.core.statistics.SlidingCount
 import toucanrelay.core.time.Clock
 
 /**
--- a/core/src/main/kotlin/toucanrelay/core/overload/DecayingRate.kt
+++ b/core/src/main/kotlin/toucanrelay/core/statistics/DecayingRate.kt
@@ -1,4 +1,4 @@
-package toucanrelay.core.overload
+package toucanrelay.core.statistics
 
 import toucanrelay.core.time.Clock
 import kotlin.math.exp
--- a/core/src/main/kotlin/toucanrelay/core/target/SlidingCount.kt
+++ b/core/src/main/kotlin/toucanrelay/core/statistics/SlidingCount.kt
@@ -1,4 +1,4 @@
-package toucanrelay.core.target
+package toucanrelay.core.statistics
 
 import toucanrelay.core.time.Clock
 
--- a/core/src/main/kotlin/toucanrelay/core/target/TargetRegister.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetRegister.kt
@@ -1,6 +1,7 @@
 package toucanrelay.core.target
 
 import kotlinx.collections.immutable.ImmutableMap
+import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.toPersistentMap
 import toucanrelay.core.identity.FailureDomainId
@@ -24,11 +25,20 @@
 ) {
     private var targets = persistentMapOf<TargetId, RegisteredTarget>()
     private var outageEndedAtMilliseconds: Long? = null
+    private var lapsing = 0
+    private var servingLists = HashMap<ServingKey, List<RegisteredTarget>>()
+
+    private data class ServingKey(
+        val service: String,
+        val excludedDomains: Set<FailureDomainId>,
+    )
 
     /** All targets that may still be there, leaving ones among them. */
     public fun present(): ImmutableMap<TargetId, RegisteredTarget> {
-        val now = clock.nowMilliseconds()
-        targets = targets.filterValues { !isGone(it, now) }.toPersistentMap()
+        if (lapsing > 0) {
+            val now = clock.nowMilliseconds()
+            replace(targets.filterValues { !isGone(it, now) }.toPersistentMap())
+        }
         return targets
     }
 
@@ -41,16 +51,14 @@
         if (known != null && registration.incarnation < known.registration.incarnation) return
         val sameRun = known?.takeIf { it.registration.incarnation == registration.incarnation }
         val now = clock.nowMilliseconds()
-        targets =
-            targets.put(
-                registration.id,
-                RegisteredTarget(
-                    registration,
-                    isLeaving = registration.isLeaving || sameRun?.isLeaving == true,
-                    coldUntilMilliseconds = now + registration.coldMilliseconds,
-                    removedAtMilliseconds = null,
-                ),
+        val registered =
+            RegisteredTarget(
+                registration,
+                isLeaving = registration.isLeaving || sameRun?.isLeaving == true,
+                coldUntilMilliseconds = now + registration.coldMilliseconds,
+                removedAtMilliseconds = null,
             )
+        replace(targets.put(registration.id, registered))
     }
 
     /** Notes that the registration of [id] was removed. */
@@ -58,9 +66,9 @@
         val known = targets[id] ?: return
         val now = clock.nowMilliseconds()
         if (known.isLeaving || !mayHaveLapsed(now)) {
-            targets = targets.remove(id)
+            replace(targets.remove(id))
         } else if (known.removedAtMilliseconds == null) {
-            targets = targets.put(id, known.copy(removedAtMilliseconds = now))
+            replace(targets.put(id, known.copy(removedAtMilliseconds = now)))
         }
     }
 
@@ -71,24 +79,36 @@
         registrations.forEach { register(it) }
     }
 
-    /** Notes that the store answers again after an outage. */
-    public fun noteOutageEnded() {
-        outageEndedAtMilliseconds = clock.nowMilliseconds()
+    /** Notes that the store answered again after an outage, [agoMilliseconds] ago. */
+    public fun noteOutageEnded(agoMilliseconds: Long = 0) {
+        val endedAt = clock.nowMilliseconds() - agoMilliseconds
+        outageEndedAtMilliseconds = maxOf(endedAt, outageEndedAtMilliseconds ?: Long.MIN_VALUE)
     }
 
     /** Notes that another target answers at the address of [id], so that its run has ended. */
     public fun noteReplaced(id: TargetId, incarnation: Incarnation) {
         val known = targets[id] ?: return
-        if (known.registration.incarnation == incarnation) targets = targets.put(id, known.copy(isLeaving = true))
+        if (known.registration.incarnation == incarnation) replace(targets.put(id, known.copy(isLeaving = true)))
     }
 
     /** The targets of [service] that may get new work while [excludedDomains] are out of service. */
-    public fun serving(service: String, excludedDomains: Set<FailureDomainId>): List<RegisteredTarget> =
-        present().values.filter { target ->
-            target.registration.service == service &&
-                !target.isLeaving &&
-                target.registration.failureDomain !in excludedDomains
+    public fun serving(service: String, excludedDomains: Set<FailureDomainId>): List<RegisteredTarget> {
+        val present = present()
+        return servingLists.getOrPut(ServingKey(service, excludedDomains)) {
+            present.values.filter { target ->
+                target.registration.service == service &&
+                    !target.isLeaving &&
+                    target.registration.failureDomain !in excludedDomains
+            }
         }
+    }
+
+    private fun replace(next: PersistentMap<TargetId, RegisteredTarget>) {
+        if (next === targets) return
+        targets = next
+        lapsing = next.values.count { it.removedAtMilliseconds != null }
+        servingLists.clear()
+    }
 
     private fun mayHaveLapsed(now: Long): Boolean =
         outageEndedAtMilliseconds?.let { now - it <= lapseGraceMilliseconds } ?: false
--- a/core/src/test/kotlin/toucanrelay/core/placement/PrefixResidencyTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/placement/PrefixResidencyTest.kt
@@ -25,12 +25,5 @@
                 residency.residentTokens(parts("b")) shouldBe 0
                 residency.residentTokens(parts("a")) shouldBe 100
             }
-
-            it("are none after a restart of the engine") {
-                val residency = PrefixResidency(300)
-                residency.noteRead(parts("a"))
-                residency.clear()
-                residency.residentTokens(parts("a")) shouldBe 0
-            }
         }
     })
--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -6,6 +6,8 @@
 import toucanrelay.gateway.member.MemberDigest
 import toucanrelay.gateway.member.MemberExchange
 import toucanrelay.gateway.member.OthersLoad
+import toucanrelay.gateway.member.ReadEntry
+import toucanrelay.gateway.member.TableAgeEntry
 import toucanrelay.gateway.member.TargetLoadEntry
 import toucanrelay.gateway.member.UsageEntry
 import toucanrelay.gateway.target.Target
@@ -17,27 +19,45 @@
 ) {
     private val exchange = MemberExchange(parts.vertx, parts.fleet, parts.log, ::take)
     private var sequence = 0L
+    private var hasNews = false
 
     /** Binds the port for digests. */
     suspend fun listen() {
         exchange.listen(TargetAddress(parts.settings.address, parts.settings.memberPort))
     }
 
-    /** Sends the present state to all other members. */
+    /** Sends the present state to the members of this region, and less often to those of other regions. */
     fun send() {
-        exchange.send(
-            MemberDigest(
-                instance = parts.settings.instance,
-                incarnation = incarnation,
-                sequence = ++sequence,
-                isLeaving = parts.server.isDraining,
-                loads = loads(),
-                usage = usage(),
-                reads = parts.reads.take(),
-            ),
-        )
+        sequence++
+        exchange.send(digest(parts.reads.takeForNear()), parts.fleet.nearAddresses)
+        val far = parts.fleet.farAddresses
+        if (far.isNotEmpty() && sequence % SENDS_FOR_ONE_FAR == 0L) exchange.send(digest(parts.reads.takeForFar()), far)
+    }
+
+    /** Applies what digests told since the last time. */
+    fun applyNews() {
+        if (!hasNews) return
+        hasNews = false
+        takeLoads()
+        parts.admission.wake()
     }
 
+    private fun digest(reads: List<ReadEntry>) =
+        MemberDigest(
+            instance = parts.settings.instance,
+            incarnation = incarnation,
+            sequence = sequence,
+            isLeaving = parts.server.isDraining,
+            loads = loads(),
+            usage = usage(),
+            reads = reads,
+            failureDomain = parts.settings.failureDomain,
+            tables =
+                parts.copies.mapNotNull { (table, copy) ->
+                    copy.ageMilliseconds?.let { TableAgeEntry(table, it) }
+                },
+        )
+
     private fun loads(): List<TargetLoadEntry> =
         parts.pool
             .all()
@@ -69,8 +89,7 @@
                 ?.residency
                 ?.noteRead(shared)
         }
-        takeLoads()
-        parts.admission.wake()
+        hasNews = true
     }
 
     private fun takeLoads() {
@@ -84,5 +103,6 @@
 
     private companion object {
         const val LEAST_READ_PER_SECOND = 100.0
+        const val SENDS_FOR_ONE_FAR = 3L
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -13,17 +13,13 @@
 import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.EpochClock
-import toucanrelay.gateway.follow.FollowedOperators
-import toucanrelay.gateway.follow.FollowedTargets
-import toucanrelay.gateway.follow.StoreFollower
+import toucanrelay.gateway.follow.MemberTableServer
 import toucanrelay.gateway.http.PlainPage
 import toucanrelay.gateway.http.PlainPageServer
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.settings.SettingsLoader
 import toucanrelay.platform.MemberRegistration
 import toucanrelay.platform.MemberTable
-import toucanrelay.platform.OperatorTable
-import toucanrelay.platform.TargetTable
 import java.nio.file.Path
 
 /** One gateway process: starts its parts, and stops them without cutting a request. */
@@ -44,13 +40,19 @@
     suspend fun start(): Unit =
         withContext(dispatcher) {
             parts.log.write("start", "instance" to parts.settings.instance, "incarnation" to incarnation)
-            followStore()
+            parts.followers.forEach { scope.launch { it.run() } }
+            scope.launch { joinFleet() }
             parts.server.listen(GatewayParts.addressOf(parts.settings.callersAddress))
             PlainPageServer(vertx, ::readiness).listen(GatewayParts.addressOf(parts.settings.readinessAddress))
             digests.listen()
             PlainPageServer(vertx) { PlainPage(STATUS_OK, parts.meters.scrape()) }
                 .listen(TargetAddress(parts.settings.address, parts.settings.metricsPort))
+            MemberTableServer(vertx, parts.ageClock, parts.copies)
+                .listen(TargetAddress(parts.settings.address, parts.settings.tablePort))
             every(DIGEST_MILLISECONDS) { digests.send() }
+            every(DIGEST_NEWS_MILLISECONDS) { digests.applyNews() }
+            every(LoopLag.PERIOD_MILLISECONDS) { parts.loopLag.note() }
+            every(FORGET_MILLISECONDS) { parts.fleet.forgetSilent() }
             every(SILENCE_SWEEP_MILLISECONDS) { parts.silence.sweep() }
             every(POOL_SWEEP_MILLISECONDS) { parts.pool.sweep() }
             every(SETTINGS_CHECK_MILLISECONDS) { reloadIfChanged() }
@@ -99,20 +101,14 @@
         return isIdle || elapsed >= limit - KILL_MARGIN_MILLISECONDS
     }
 
-    private fun followStore() {
-        val operators = FollowedOperators(OperatorTable(parts.store), parts.configurations, parts.pool, parts.log)
-        val targets = FollowedTargets(TargetTable(parts.store), parts.targets, parts.log) { parts.admission.wake() }
-        scope.launch { StoreFollower(operators, parts.ageClock, parts.log).run() }
-        scope.launch { StoreFollower(targets, parts.ageClock, parts.log).run() }
-        scope.launch { joinFleet() }
-    }
-
     private suspend fun joinFleet() {
         val address = TargetAddress(parts.settings.address, parts.settings.memberPort)
         val self = MemberRegistration(parts.settings.instanceId, Incarnation(incarnation), address)
         while (members.register(self).isErr) delay(JOIN_RETRY_MILLISECONDS)
         while (true) {
-            members.read().onSuccess { all -> all.forEach { parts.fleet.noteRegistered(it.instance, it.address) } }
+            members.read().onSuccess { all ->
+                all.forEach { parts.fleet.noteRegistered(it.instance, it.incarnation.value, it.address) }
+            }
             delay(MEMBERS_READ_MILLISECONDS)
         }
     }
@@ -123,6 +119,7 @@
 
     private fun isReady(): Boolean =
         !parts.server.isDraining &&
+            !parts.loopLag.isOverloaded &&
             parts.configurations.isFresh(parts.maximumAgeMilliseconds()) &&
             parts.targets.present().isNotEmpty()
 
@@ -143,7 +140,11 @@
         private const val SETTINGS_CHECK_MILLISECONDS = 2_000L
         private const val POOL_SWEEP_MILLISECONDS = 1_000L
         private const val JOIN_RETRY_MILLISECONDS = 500L
-        private const val MEMBERS_READ_MILLISECONDS = 10_000L
+
+        /** Each member reads once after it has registered, so of any two the later one knows the earlier one. */
+        private const val MEMBERS_READ_MILLISECONDS = 30_000L
+        private const val DIGEST_NEWS_MILLISECONDS = 40L
+        private const val FORGET_MILLISECONDS = 5_000L
         private const val STOP_CHECK_MILLISECONDS = 50L
         private const val LOG_FLUSH_MILLISECONDS = 20L
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
@@ -15,6 +15,11 @@
 import toucanrelay.gateway.dispatch.RetryBudgets
 import toucanrelay.gateway.dispatch.RunnerParts
 import toucanrelay.gateway.dispatch.SilenceWatch
+import toucanrelay.gateway.follow.FollowedOperators
+import toucanrelay.gateway.follow.FollowedTargets
+import toucanrelay.gateway.follow.MemberTableClient
+import toucanrelay.gateway.follow.TableCopy
+import toucanrelay.gateway.follow.TableFollower
 import toucanrelay.gateway.http.CallerServer
 import toucanrelay.gateway.http.RequestIntake
 import toucanrelay.gateway.log.EventLog
@@ -40,11 +45,12 @@
     val configurations = ConfigurationRegister(ageClock)
     val targets = TargetRegister(clock, LAPSE_GRACE_MILLISECONDS)
     val pool = TargetPool(vertx, clock, targets)
-    val fleet = FleetView(settings.instanceId, clock)
+    val fleet = FleetView(settings.instanceId, settings.region, clock) { settings.regionOf(it) }
     val reads = RecentReads()
     val usage = OrganisationUsage(clock)
     val silence = SilenceWatch(clock)
     val store = StoreClient(vertx, addressOf(settings.storeAddress))
+    val loopLag = LoopLag(clock)
 
     private val shares = FairShares(clock, usage, fleet)
     private val placer = Placer(settings, clock, pool, fleet, shares, reads)
@@ -52,6 +58,20 @@
     private val intake = RequestIntake(clock, configurations, estimates, ::maximumAgeMilliseconds)
 
     val admission = Admission(vertx, clock, placer, shares)
+    private val followedTables =
+        listOf(
+            FollowedOperators(configurations, pool, log),
+            FollowedTargets(targets, log) { admission.wake() },
+        )
+
+    /** Copies of the store's tables, by their names between members. */
+    val copies: Map<String, TableCopy> = followedTables.associate { it.name to TableCopy(ageClock) }
+
+    /** Keep the copies up to date. */
+    val followers: List<TableFollower> =
+        MemberTableClient(vertx, ageClock).let { members ->
+            followedTables.map { TableFollower(it, copies.getValue(it.name), store, members, fleet, ageClock, log) }
+        }
     val server =
         CallerServer(
             vertx,
@@ -71,6 +91,7 @@
                 random = Random.Default,
             ),
             configurations,
+            loopLag,
         )
 
     /** Age of the configuration up to which keys may be trusted. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
@@ -12,17 +12,20 @@
 import toucanrelay.gateway.selftest.SelfTest
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.settings.SettingsLoader
+import toucanrelay.platform.SettingsLocation
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
-private const val SETTINGS_VARIABLE = "TOUCANRELAY_BOOT"
 private const val EXIT_OK = 0
 private const val EXIT_FAILED = 1
 private const val EXIT_SETTINGS = 2
 
 /** The gateway's command line. */
 internal class GatewayArguments {
-    @Argument(metaVar = "SETTINGS_FILE", usage = "JSON file with the settings; else \$$SETTINGS_VARIABLE names it")
+    @Argument(
+        metaVar = "SETTINGS_FILE",
+        usage = "JSON file with the settings; else \$${SettingsLocation.VARIABLE} names it",
+    )
     var settingsFile: String? = null
 
     @Option(name = "--check-settings", usage = "checks the settings and does nothing else")
@@ -50,7 +53,7 @@
     if (parsed.help) return printHelp(parser)
     if (parsed.isSelfTest) return runSelfTest()
     val file =
-        parsed.settingsFile ?: System.getenv(SETTINGS_VARIABLE) ?: exitWith("SETTINGS_FILE is missing; see --help")
+        parsed.settingsFile ?: SettingsLocation.fromEnvironment() ?: exitWith("SETTINGS_FILE is missing; see --help")
     val settings = loadOrExit(file)
     if (!parsed.isCheckOnly) serve(settings, Path.of(file))
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
@@ -90,6 +90,7 @@
     private val order: Comparator<Waiter> =
         compareBy<Waiter> { it.excluded.isEmpty() }
             .thenBy { shares.servedPerSecond(it.request.account) }
+            .thenBy { it.request.rank }
             .thenBy { !it.request.hasReturned }
 
     private fun longestWait(waiter: Waiter): Long {
@@ -103,7 +104,7 @@
     }
 
     private companion object {
-        const val DRAIN_DELAY_MILLISECONDS = 8L
+        const val DRAIN_DELAY_MILLISECONDS = 20L
         const val WAIT_OF_NEW = 0.35
         const val WAIT_OF_RETURNED = 0.8
         const val WAIT_OF_BEGUN = 1.5
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
@@ -39,6 +39,6 @@
     }
 
     private companion object {
-        const val REFRESH_MILLISECONDS = 50L
+        const val REFRESH_MILLISECONDS = 100L
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -53,8 +53,7 @@
 
     /** Places [request] at a target that is not in [excluded]; [onRelease] runs when the target has room again. */
     fun place(request: CallerRequest, excluded: Set<TargetId>, onRelease: () -> Unit): PlacingResult {
-        val serving = pool.serving(request.service).filter { request.allows(regionOf(it)) }
-        if (serving.isEmpty()) return PlacingResult.NoTarget
+        val serving = allowed(request)
         val untried = serving.filter { it.target.id !in excluded }
         if (untried.isEmpty()) return PlacingResult.NoTarget
         val usable = usable(untried, request.service)
@@ -67,7 +66,7 @@
 
     /** Tells, for the log, what kept [request] from the targets. */
     fun explain(request: CallerRequest): String {
-        val serving = pool.serving(request.service).filter { request.allows(regionOf(it)) }
+        val serving = allowed(request)
         val usable = usable(serving, request.service)
         val counts = "targets ${serving.size} usable ${usable.size}"
         val prompt = request.prompt ?: return counts
@@ -85,6 +84,9 @@
             EngineSpeed(tokensPerSecond?.let { it / engines / MILLISECONDS_IN_A_SECOND } ?: DEFAULT_SPEED)
         }
 
+    private fun allowed(request: CallerRequest): List<ServingTarget> =
+        pool.serving(request.service).filter { request.allows(regionOf(it)) }
+
     private fun standingOf(request: CallerRequest, excluded: Set<TargetId>): RequestStanding =
         when {
             excluded.isNotEmpty() -> RequestStanding.BEGUN
@@ -148,6 +150,7 @@
             failureRate = target.health.failureRate,
             slots = serving.registered.registration.slots,
             memoryTokens = service.engine?.memoryTokens,
+            hash = target.hash,
         )
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
@@ -1,38 +1,32 @@
 package toucanrelay.gateway.follow
 
-import com.github.michaelbull.result.Result
 import kotlinx.collections.immutable.toPersistentSet
 import toucanrelay.core.configuration.ConfigurationRegister
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.gateway.target.TargetPool
 import toucanrelay.platform.OperatorEntry
 import toucanrelay.platform.OperatorTable
-import toucanrelay.platform.Snapshot
-import toucanrelay.platform.StoreError
+import toucanrelay.platform.StoreRow
 
 /** Follows configurations and failure domains that are out of service. */
 internal class FollowedOperators(
-    private val table: OperatorTable,
     private val register: ConfigurationRegister,
     private val pool: TargetPool,
     private val log: EventLog,
-) : FollowedTable<OperatorEntry> {
+) : FollowedTable {
     override val name = "operators"
-    override val waitMilliseconds = 1_500L
-    override val pauseMilliseconds = 0L
+    override val nameInStore = OperatorTable.NAME
+    override val isUrgent: Boolean
+        get() = register.current == null
 
-    override suspend fun read(): Result<Snapshot<OperatorEntry>, StoreError> = table.read()
-
-    override suspend fun changes(version: Long, waitMilliseconds: Long): Result<Snapshot<OperatorEntry>, StoreError> =
-        table.changes(version, waitMilliseconds)
-
-    override fun take(entries: List<OperatorEntry>, isWhole: Boolean, askedAtMilliseconds: Long) {
+    override fun take(rows: List<StoreRow>, isWhole: Boolean, confirmedAtMilliseconds: Long) {
+        val entries = OperatorTable.decode(rows)
         entries.filterIsInstance<OperatorEntry.NewConfiguration>().forEach { take(it) }
         takeDomains(entries.filterIsInstance<OperatorEntry.FailureDomainService>(), isWhole)
-        if (register.current != null) register.confirm(askedAtMilliseconds)
+        if (register.current != null) register.confirm(confirmedAtMilliseconds)
     }
 
-    override fun noteRegained(outageMilliseconds: Long) = Unit
+    override fun noteOutageEnded(agoMilliseconds: Long) = Unit
 
     private fun take(entry: OperatorEntry.NewConfiguration) {
         val configuration = entry.configuration
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
@@ -1,44 +1,33 @@
 package toucanrelay.gateway.follow
 
-import com.github.michaelbull.result.Result
 import toucanrelay.core.target.TargetRegister
 import toucanrelay.core.target.TargetRegistration
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.platform.RegistrationChange
-import toucanrelay.platform.Snapshot
-import toucanrelay.platform.StoreError
+import toucanrelay.platform.StoreRow
 import toucanrelay.platform.TargetTable
 
 /** Follows the registrations of targets. */
 internal class FollowedTargets(
-    private val table: TargetTable,
     private val register: TargetRegister,
     private val log: EventLog,
     private val onChange: () -> Unit,
-) : FollowedTable<RegistrationChange> {
+) : FollowedTable {
     override val name = "targets"
-    override val waitMilliseconds = 0L
+    override val nameInStore = TargetTable.NAME
+    override val isUrgent: Boolean
+        get() = register.present().isEmpty()
 
-    /** A process that knows no target yet cannot serve, so it asks again soon. */
-    override val pauseMilliseconds: Long
-        get() = if (register.present().isEmpty()) PAUSE_WITHOUT_TARGETS_MILLISECONDS else PAUSE_MILLISECONDS
-
-    override suspend fun read(): Result<Snapshot<RegistrationChange>, StoreError> = table.read()
-
-    override suspend fun changes(
-        version: Long,
-        waitMilliseconds: Long,
-    ): Result<Snapshot<RegistrationChange>, StoreError> = table.changes(version, waitMilliseconds)
-
-    override fun take(entries: List<RegistrationChange>, isWhole: Boolean, askedAtMilliseconds: Long) {
+    override fun take(rows: List<StoreRow>, isWhole: Boolean, confirmedAtMilliseconds: Long) {
+        val entries = TargetTable.decode(rows)
         val registered = entries.filterIsInstance<RegistrationChange.Registered>().map { it.registration }
         registered.forEach { logNews(it) }
         if (isWhole) register.replaceAll(registered) else takeChanges(entries)
         if (entries.isNotEmpty()) onChange()
     }
 
-    override fun noteRegained(outageMilliseconds: Long) {
-        register.noteOutageEnded()
+    override fun noteOutageEnded(agoMilliseconds: Long) {
+        register.noteOutageEnded(agoMilliseconds)
     }
 
     private fun takeChanges(entries: List<RegistrationChange>) {
@@ -68,9 +57,4 @@
             "coldMs" to registration.coldMilliseconds,
         )
     }
-
-    private companion object {
-        const val PAUSE_MILLISECONDS = 800L
-        const val PAUSE_WITHOUT_TARGETS_MILLISECONDS = 150L
-    }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
@@ -41,6 +41,10 @@
     val account: OrganisationId
         get() = organisation?.id ?: ANONYMOUS
 
+    /** How urgent the request is among those of its organisation; 0 is the most urgent. */
+    val rank: Int
+        get() = organisation?.rank ?: route.rank
+
     /** Whether a target in [region] may serve the request. */
     fun allows(region: RegionId?): Boolean {
         val ofRoute = route.allowedRegions
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -12,10 +12,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import toucanrelay.core.configuration.ConfigurationRegister
 import toucanrelay.core.overload.ReturnTime
 import toucanrelay.core.target.TargetAddress
+import toucanrelay.gateway.LoopLag
 import toucanrelay.gateway.dispatch.RequestRunner
 import toucanrelay.gateway.dispatch.RunnerParts
 import toucanrelay.platform.RequestHeaders
@@ -26,6 +28,7 @@
     private val scope: CoroutineScope,
     private val parts: RunnerParts,
     private val register: ConfigurationRegister,
+    private val loopLag: LoopLag,
 ) {
     private var server: HttpServer? = null
 
@@ -55,7 +58,7 @@
     }
 
     private fun handle(request: HttpServerRequest) {
-        val arrivedAt = parts.clock.nowMilliseconds()
+        val arrivedAt = parts.clock.nowMilliseconds() - unreadMilliseconds()
         val responder = CallerResponder(request) { isDraining }
         active++
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { serve(request, responder, arrivedAt) }
@@ -63,6 +66,9 @@
         watchCaller(request, responder, job)
     }
 
+    /** How long the request has probably waited before it was read. */
+    private fun unreadMilliseconds(): Long = loopLag.milliseconds.takeIf { it >= LEAST_LAG_MILLISECONDS } ?: 0
+
     private fun watchCaller(request: HttpServerRequest, responder: CallerResponder, job: Job) {
         // A failed write is followed by the close of the connection, which is handled.
         request.response().exceptionHandler { }
@@ -74,6 +80,9 @@
         try {
             val body = readBody(request) ?: return refuse(request, responder, Refusal.BODY_TOO_LARGE)
             if (isRefusingNew) return refuse(request, responder, Refusal.SHUTTING_DOWN)
+            if (loopLag.isOverloaded) return refuse(request, responder, Refusal.PROCESS_OVERLOADED)
+            // The next turn of the event loop tells whether the caller has left while its request waited unread.
+            if (unreadMilliseconds() > 0) delay(NEXT_TURN_MILLISECONDS)
             val accepted =
                 parts.intake.accept(request, body, arrivedAt).getOrElse { return refuse(request, responder, it) }
             runner = RequestRunner(parts, accepted, responder)
@@ -136,6 +145,8 @@
         const val MAXIMUM_HEADER_BYTES = 65_536
         const val MAXIMUM_REQUEST_LINE_BYTES = 16_384
         const val ACCEPT_BACKLOG = 1_024
+        const val LEAST_LAG_MILLISECONDS = 100L
+        const val NEXT_TURN_MILLISECONDS = 2L
         const val IDLE_TIMEOUT_SECONDS = 60
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
@@ -16,6 +16,7 @@
     UNKNOWN_KEY("unknown-key", 401, false),
     UNKNOWN_ROUTE("unknown-route", 404, false),
     BODY_TOO_LARGE("body-too-large", 413, false),
+    HEADERS_TOO_LARGE("headers-too-large", 431, false),
 
     /** No configuration is known yet. */
     NO_CONFIGURATION("no-configuration", 503, true),
@@ -38,6 +39,9 @@
     /** The time was over before the request was sent to a target. */
     DEADLINE_BEFORE_START("deadline-before-start", 503, true),
 
+    /** The process itself is far behind with reading requests. */
+    PROCESS_OVERLOADED("process-overloaded", 503, true),
+
     /** The process is shutting down. */
     SHUTTING_DOWN("shutting-down", 503, true),
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
@@ -30,6 +30,7 @@
     /** Checks [request], whose whole [body] has been read and whose headers came at [arrivedAtMilliseconds]. */
     fun accept(request: HttpServerRequest, body: Buffer, arrivedAtMilliseconds: Long): Result<CallerRequest, Refusal> {
         val configuration = register.current ?: return Err(Refusal.NO_CONFIGURATION)
+        if (headerBytes(request) > configuration.limits.maximumHeaderBytes) return Err(Refusal.HEADERS_TOO_LARGE)
         val caller = RequestHeaders.readCaller(request.headers())
         val requestId = caller.requestId ?: return Err(Refusal.MALFORMED)
         val host = request.authority()?.host() ?: return Err(Refusal.MALFORMED)
@@ -79,6 +80,9 @@
         return Ok(organisation)
     }
 
+    private fun headerBytes(request: HttpServerRequest): Int =
+        request.uri().length + request.headers().sumOf { (name, value) -> name.length + value.length + LINE_BYTES }
+
     private fun serviceOf(route: Route, requestId: String): String? {
         val total = route.services.sumOf { it.weight }
         if (total <= 0) return route.services.firstOrNull()?.service
@@ -103,5 +107,8 @@
 
     private companion object {
         const val LEAST_DIFFERENCE_MILLISECONDS = 40
+
+        /** A colon, a space and the end of a header line. */
+        const val LINE_BYTES = 4
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -1,30 +1,49 @@
 package toucanrelay.gateway.member
 
+import toucanrelay.core.following.ReaderRank
+import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.identity.RegionId
 import toucanrelay.core.identity.TargetId
 import toucanrelay.core.overload.UsageRate
 import toucanrelay.core.placement.TargetLoad
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.Clock
 
-/** What this process knows of the other members; confined to the event loop. */
+/**
+ * What this process knows of the other members; confined to the event loop.
+ *
+ * Members that have been silent for long are forgotten, so that those which were replaced for good neither get digests
+ * nor count in the fleet's budgets. They come back when they are heard or register a later run.
+ *
+ * @param regionOf the region of a failure domain.
+ */
 internal class FleetView(
     private val self: InstanceId,
+    private val ownRegion: RegionId?,
     private val clock: Clock,
+    private val regionOf: (FailureDomainId) -> RegionId?,
 ) {
     private class Member(
         var address: TargetAddress,
+        var incarnation: Long,
+        var heardAtMilliseconds: Long,
     ) {
         var digest: MemberDigest? = null
-        var heardAtMilliseconds = Long.MIN_VALUE / 2
+        var offersFailedUntilMilliseconds = Long.MIN_VALUE
     }
 
     private val members = HashMap<InstanceId, Member>()
+    private val forgottenIncarnations = HashMap<InstanceId, Long>()
 
-    /** Addresses of all members that have registered. */
-    val addresses: List<TargetAddress>
-        get() = members.values.map { it.address }
+    /** Addresses of the members in this process's region, and of those whose region is not known yet. */
+    val nearAddresses: List<TargetAddress>
+        get() = members.values.filter { isNear(it) }.map { it.address }
+
+    /** Addresses of the members in other regions. */
+    val farAddresses: List<TargetAddress>
+        get() = members.values.filter { !isNear(it) }.map { it.address }
 
     /** The other members that were heard lately or registered. */
     val others: Set<InstanceId>
@@ -34,20 +53,59 @@
     val size: Int
         get() = members.size + 1
 
-    /** Notes that [instance] registered itself at [address]. */
-    fun noteRegistered(instance: InstanceId, address: TargetAddress) {
-        if (instance == self) return
-        members.getOrPut(instance) { Member(address) }.address = address
+    /** Notes that [instance] registered its run [incarnation] at [address]. */
+    fun noteRegistered(instance: InstanceId, incarnation: Long, address: TargetAddress) {
+        if (instance == self || incarnation <= (forgottenIncarnations[instance] ?: Long.MIN_VALUE)) return
+        val member = members.getOrPut(instance) { Member(address, incarnation, clock.nowMilliseconds()) }
+        member.address = address
+        member.incarnation = maxOf(member.incarnation, incarnation)
+    }
+
+    /** Forgets the members that have been silent for long. */
+    fun forgetSilent() {
+        val oldest = clock.nowMilliseconds() - FORGOTTEN_AFTER_MILLISECONDS
+        val silent = members.filterValues { it.heardAtMilliseconds < oldest }
+        silent.forEach { (instance, member) ->
+            members.remove(instance)
+            forgottenIncarnations[instance] = member.incarnation
+        }
+    }
+
+    /** This process's place among the live members of its region that may read from the store. */
+    fun readerRank(): Int =
+        ReaderRank.of(self, members.filterValues { isLive(it) && isNear(it) && it.digest?.isLeaving == false }.keys)
+
+    /** The freshest copy of [table] that a live member offers, a near one before one that is little fresher. */
+    fun bestOffer(table: String): TableOffer? =
+        members.mapNotNull { offerOf(it, table) }.minByOrNull { it.second }?.first
+
+    /** Notes that a member did not give what it offered; it is not asked again for a while. */
+    fun noteOfferFailed(offer: TableOffer) {
+        val until = clock.nowMilliseconds() + FAILED_OFFER_PAUSE_MILLISECONDS
+        members[offer.instance]?.offersFailedUntilMilliseconds = until
+    }
+
+    /** The member's offer of [table], and its age with what a far member has to be fresher. */
+    private fun offerOf(entry: Map.Entry<InstanceId, Member>, table: String): Pair<TableOffer, Long>? {
+        val (instance, member) = entry
+        val now = clock.nowMilliseconds()
+        if (!isLive(member) || now < member.offersFailedUntilMilliseconds) return null
+        val offered = member.digest?.tables?.find { it.table == table } ?: return null
+        val age = offered.ageMilliseconds + now - member.heardAtMilliseconds
+        val penalty = if (isNear(member)) 0 else FAR_OFFER_PENALTY_MILLISECONDS
+        return TableOffer(instance, member.address, age + penalty) to age + penalty
     }
 
     /** Takes [digest] and tells whether it is newer than the one known; [address] is where it came from. */
     fun note(digest: MemberDigest, address: TargetAddress): Boolean {
         val instance = InstanceId(digest.instance)
         if (instance == self) return false
-        val member = members.getOrPut(instance) { Member(address) }
+        val now = clock.nowMilliseconds()
+        val member = members.getOrPut(instance) { Member(address, digest.incarnation, now) }
         if (isOlder(digest, member.digest)) return false
         member.digest = digest
-        member.heardAtMilliseconds = clock.nowMilliseconds()
+        member.incarnation = digest.incarnation
+        member.heardAtMilliseconds = now
         return true
     }
 
@@ -68,9 +126,13 @@
         return usage
     }
 
-    private fun liveDigests(): List<MemberDigest> {
-        val oldest = clock.nowMilliseconds() - LIVE_MILLISECONDS
-        return members.values.filter { it.heardAtMilliseconds >= oldest }.mapNotNull { it.digest }
+    private fun liveDigests(): List<MemberDigest> = members.values.filter { isLive(it) }.mapNotNull { it.digest }
+
+    private fun isLive(member: Member) = clock.nowMilliseconds() - member.heardAtMilliseconds <= LIVE_MILLISECONDS
+
+    private fun isNear(member: Member): Boolean {
+        val domain = member.digest?.failureDomain ?: return true
+        return regionOf(FailureDomainId(domain)) == ownRegion
     }
 
     private fun isOlder(digest: MemberDigest, known: MemberDigest?): Boolean =
@@ -82,6 +144,9 @@
 
     private companion object {
         /** A member that was not heard for this long is taken to have nothing in flight. */
-        const val LIVE_MILLISECONDS = 1_500L
+        const val LIVE_MILLISECONDS = 2_000L
+        const val FORGOTTEN_AFTER_MILLISECONDS = 60_000L
+        const val FAILED_OFFER_PAUSE_MILLISECONDS = 1_000L
+        const val FAR_OFFER_PENALTY_MILLISECONDS = 300L
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -37,12 +37,20 @@
     @ProtoNumber(3) val served: Int,
 )
 
+/** How old a member's copy of a table of the store is. */
+@Serializable
+internal class TableAgeEntry(
+    @ProtoNumber(1) val table: String,
+    @ProtoNumber(2) val ageMilliseconds: Long,
+)
+
 /**
  * A member's state, as it tells the others several times a second.
  *
  * @property incarnation start of the member's run, in milliseconds since 1970.
  * @property sequence rises with each digest of a run.
  * @property isLeaving whether the member is about to stop.
+ * @property tables copies of tables that others may ask for.
  */
 @Serializable
 internal class MemberDigest(
@@ -53,4 +61,6 @@
     @ProtoNumber(5) val loads: List<TargetLoadEntry> = emptyList(),
     @ProtoNumber(6) val usage: List<UsageEntry> = emptyList(),
     @ProtoNumber(7) val reads: List<ReadEntry> = emptyList(),
+    @ProtoNumber(8) val failureDomain: String = "",
+    @ProtoNumber(9) val tables: List<TableAgeEntry> = emptyList(),
 )
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberExchange.kt
@@ -20,7 +20,10 @@
     private val log: EventLog,
     private val onDigest: (MemberDigest) -> Unit,
 ) {
-    private val socket: DatagramSocket = vertx.createDatagramSocket(DatagramSocketOptions())
+    private val socket: DatagramSocket =
+        vertx.createDatagramSocket(
+            DatagramSocketOptions().setReceiveBufferSize(RECEIVE_BUFFER_BYTES),
+        )
 
     /** Binds the socket to [address]. */
     suspend fun listen(address: TargetAddress) {
@@ -30,10 +33,10 @@
         socket.listen(address.port, address.host).coAwait()
     }
 
-    /** Sends [digest] to all other members; lost datagrams are made up for by the next ones. */
-    fun send(digest: MemberDigest) {
+    /** Sends [digest] to [receivers]; lost datagrams are made up for by the next ones. */
+    fun send(digest: MemberDigest, receivers: List<TargetAddress>) {
         val bytes = Buffer.buffer(ProtoBuf.encodeToByteArray(digest))
-        view.addresses.forEach { socket.send(bytes, it.port, it.host) }
+        receivers.forEach { socket.send(bytes, it.port, it.host) }
     }
 
     private fun receive(data: Buffer, from: TargetAddress) {
@@ -48,4 +51,9 @@
             log.write("digest-unreadable", "from" to from, "detail" to malformed.message)
             null
         }
+
+    private companion object {
+        /** A datagram that is longer than the buffer loses its end, and a short queue loses whole ones. */
+        const val RECEIVE_BUFFER_BYTES = 65_536
+    }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
@@ -28,6 +28,7 @@
  */
 internal class SelfTest {
     private val vertx = Vertx.vertx()
+    private val client = vertx.createHttpClient()
     private val store = StoreStandIn(vertx)
     private val target = TargetStandIn(vertx, "target-1")
 
@@ -78,13 +79,16 @@
                 .setHost(LOOPBACK)
                 .setPort(port)
                 .setURI(path + "x")
-        val request = vertx.createHttpClient().request(options).coAwait()
-        request.putHeader("Host", ConfigurationStandIn.HOST)
-        ModelCallStandIn.write(request.headers(), KEY)
-        return request
-            .send(Buffer.buffer("body"))
-            .compose { response -> response.body().map { body -> "${response.statusCode()} $body" } }
-            .coAwait()
+        // Everything is composed on the event loop: a body that comes before somebody asks for it is lost.
+        return client
+            .request(options)
+            .compose { request ->
+                request.putHeader("Host", ConfigurationStandIn.HOST)
+                ModelCallStandIn.write(request.headers(), KEY)
+                request
+                    .send(Buffer.buffer("body"))
+                    .compose { response -> response.body().map { body -> "${response.statusCode()} $body" } }
+            }.coAwait()
     }
 
     private fun configuration() =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
@@ -54,6 +54,10 @@
     public val memberPort: Int
         get() = memberPorts.first()
 
+    /** The port at which other members ask for copies of the store's tables. */
+    public val tablePort: Int
+        get() = memberPorts.first() + 2
+
     /** The port at which metrics are served. */
     public val metricsPort: Int
         get() = memberPorts.first() + 1
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/Target.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/Target.kt
@@ -2,12 +2,13 @@
 
 import toucanrelay.core.configuration.ServiceTerms
 import toucanrelay.core.identity.Incarnation
+import toucanrelay.core.identity.StableHash
 import toucanrelay.core.identity.TargetId
-import toucanrelay.core.overload.DecayingRate
 import toucanrelay.core.placement.PrefixResidency
 import toucanrelay.core.placement.TargetLoad
+import toucanrelay.core.statistics.DecayingRate
+import toucanrelay.core.statistics.SlidingCount
 import toucanrelay.core.target.RegisteredTarget
-import toucanrelay.core.target.SlidingCount
 import toucanrelay.core.target.TargetHealth
 import toucanrelay.core.time.Clock
 
@@ -19,6 +20,9 @@
     connect: (heard: () -> Unit) -> TargetConnections,
 ) {
     val id: TargetId = registered.registration.id
+
+    /** Stable hash of [id]. */
+    val hash: Long = StableHash.of(id.value)
     val incarnation: Incarnation = registered.registration.incarnation
     val health = TargetHealth(clock)
     val connections: TargetConnections = connect(health::noteHeard)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnections.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnections.kt
@@ -16,14 +16,6 @@
 ) {
     private val idle = ArrayDeque<TargetConnection>()
 
-    /** Connections that were opened in total. */
-    var opened: Long = 0
-        private set
-
-    /** Connections that are open, busy ones among them. */
-    var open: Int = 0
-        private set
-
     /**
      * An idle connection, or a new one; throws [TargetFailure.NotSent] when none can be made.
      *
@@ -46,7 +38,6 @@
 
     /** Closes a connection that was acquired. */
     fun discard(connection: TargetConnection) {
-        open--
         connection.close()
     }
 
@@ -61,21 +52,16 @@
     }
 
     private suspend fun connect(): TargetConnection {
-        open++
         try {
             val options =
                 HttpConnectOptions()
                     .setHost(address.host)
                     .setPort(address.port)
                     .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
-            val connection = agent.connect(options).coAwait()
-            opened++
-            return TargetConnection(connection, clock, heard)
+            return TargetConnection(agent.connect(options).coAwait(), clock, heard)
         } catch (cancelled: CancellationException) {
-            open--
             throw cancelled
         } catch (failure: Exception) {
-            open--
             throw TargetFailure.NotSent(failure.message ?: failure.javaClass.simpleName)
         }
     }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -1,9 +1,11 @@
 package toucanrelay.gateway
 
+import io.vertx.core.Future
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
@@ -85,17 +87,21 @@
                     .setHost(LOOPBACK)
                     .setPort(port)
                     .setURI(path)
-            val request = client.request(options).coAwait()
-            request.putHeader("Host", ConfigurationStandIn.HOST)
-            ModelCallStandIn.write(request.headers(), key, id = id)
-            request
-                .send(Buffer.buffer(body))
-                .compose { response ->
-                    val headers = response.headers().associate { (name, value) -> name.lowercase() to value }
-                    response.body().map { SeenAnswer(response.statusCode(), headers, it.toString()) }
+            // Everything is composed on the event loop: a body that comes before somebody asks for it is lost.
+            client
+                .request(options)
+                .compose { request ->
+                    request.putHeader("Host", ConfigurationStandIn.HOST)
+                    ModelCallStandIn.write(request.headers(), key, id = id)
+                    request.send(Buffer.buffer(body)).compose { seen(it) }
                 }.coAwait()
         }
 
+    private fun seen(response: HttpClientResponse): Future<SeenAnswer> {
+        val headers = response.headers().associate { (name, value) -> name.lowercase() to value }
+        return response.body().map { SeenAnswer(response.statusCode(), headers, it.toString()) }
+    }
+
     /** Whether the answer broke off so that the caller sees it. */
     suspend fun breaksOff(path: String): Boolean = runCatching { send(path) }.isFailure
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
@@ -62,6 +62,12 @@
                 fixture.send("/calls/x", body = "x".repeat(70_000)).status shouldBe 413
                 fixture.receivedCount() shouldBe 0
             }
+
+            it("is refused when its headers are larger than allowed") {
+                start()
+                fixture.send("/calls/" + "x".repeat(9_000)).status shouldBe 431
+                fixture.receivedCount() shouldBe 0
+            }
         }
 
         describe("a stream") {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/PlatformWordsTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/PlatformWordsTest.kt
@@ -11,7 +11,8 @@
 private val PLATFORM_WORDS =
     Regex(
         "X-Key|X-Tenant|X-Deadline|X-Expect-Instance|X-Response-Seal|X-Not-Executed|X-Prompt-Prefix|X-Token-Counts|" +
-            "X-Length-Hint|rows-get|rows-feed|rows-tx|api-keys|kv-tokens|evacuat|cold-remaining|latency-goal|wait-ms",
+            "X-Length-Hint|X-Model|X-Hold|X-Pin-Ms|X-Kv-|Kv-From|Kv-Fetch|TOUCANRELAY_BOOT|max-attempts|gap-goal|" +
+            "max-connections|cold-start-s|cold-per-s|tokens-per-s|max-header-bytes|max-body-bytes|rows-get|rows-feed|rows-tx|api-keys|kv-tokens|evacuat|cold-remaining|latency-goal|wait-ms",
     )
 
 class PlatformWordsTest :
--- /dev/null
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableFollowerTest.kt
@@ -0,0 +1,127 @@
+package toucanrelay.gateway.follow
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.comparables.shouldBeGreaterThanOrEqualTo
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import toucanrelay.core.identity.InstanceId
+import toucanrelay.core.target.TargetAddress
+import toucanrelay.core.time.MonotonicClock
+import toucanrelay.gateway.log.EventLog
+import toucanrelay.gateway.member.FleetView
+import toucanrelay.gateway.member.MemberDigest
+import toucanrelay.gateway.member.TableAgeEntry
+import toucanrelay.platform.StoreError
+import toucanrelay.platform.StoreRow
+import toucanrelay.platform.StoreRows
+import toucanrelay.platform.TableReader
+import java.net.ServerSocket
+
+private const val LOOPBACK = "127.0.0.1"
+private const val LIMIT_MILLISECONDS = 20_000L
+private const val AGE_OF_MEMBER_MILLISECONDS = 1_000L
+
+/** A store that turns this process away. */
+private object ClosedStore : TableReader {
+    override suspend fun rows(table: String): Result<StoreRows, StoreError> = Err(StoreError.Refused(503))
+
+    override suspend fun changes(table: String, version: Long): Result<StoreRows, StoreError> =
+        Err(StoreError.Refused(503))
+}
+
+private class OpenStore : TableReader {
+    override suspend fun rows(table: String): Result<StoreRows, StoreError> =
+        Ok(StoreRows(listOf(StoreRow("key", "value".toByteArray(), 5)), 7))
+
+    override suspend fun changes(table: String, version: Long): Result<StoreRows, StoreError> =
+        Ok(StoreRows(emptyList(), version + 1))
+}
+
+private class RecordedTable : FollowedTable {
+    override val name = "recorded"
+    override val nameInStore = "recorded"
+    override val isUrgent = false
+    val keys = mutableListOf<String>()
+    var confirmedAtMilliseconds: Long? = null
+    var outageEndedMillisecondsAgo: Long? = null
+
+    override fun take(rows: List<StoreRow>, isWhole: Boolean, confirmedAtMilliseconds: Long) {
+        rows.forEach { keys += it.key }
+        this.confirmedAtMilliseconds = confirmedAtMilliseconds
+    }
+
+    override fun noteOutageEnded(agoMilliseconds: Long) {
+        outageEndedMillisecondsAgo = agoMilliseconds
+    }
+}
+
+class TableFollowerTest :
+    DescribeSpec({
+        val clock = MonotonicClock
+
+        suspend fun follow(store: TableReader, memberPort: Int?, check: suspend (RecordedTable, TableCopy) -> Unit) {
+            val vertx = Vertx.vertx()
+            val scope = CoroutineScope(vertx.orCreateContext.dispatcher() + Job())
+            withContext(scope.coroutineContext) {
+                val fleet = FleetView(InstanceId("self"), null, clock) { null }
+                if (memberPort != null) {
+                    val tables = listOf(TableAgeEntry("recorded", 0))
+                    val port = memberPort - TableFollower.TABLE_PORT_OFFSET
+                    fleet.note(MemberDigest("member", 1, 1, tables = tables), TargetAddress(LOOPBACK, port))
+                    serveMember(vertx, memberPort)
+                }
+                val table = RecordedTable()
+                val copy = TableCopy(clock)
+                val client = MemberTableClient(vertx, clock)
+                val follower = TableFollower(table, copy, store, client, fleet, clock, EventLog(clock))
+                val running = scope.launch { follower.run() }
+                withTimeout(LIMIT_MILLISECONDS) { while (copy.version == null) delay(10) }
+                check(table, copy)
+                running.cancel()
+            }
+            vertx.close().coAwait()
+        }
+
+        describe("a process that the store turns away") {
+            it("goes on with what a member read, whose age counts from before it asked") {
+                val port = ServerSocket(0).use { it.localPort }
+                val startedAt = clock.nowMilliseconds()
+                follow(ClosedStore, port) { table, copy ->
+                    table.keys shouldBe listOf("key")
+                    copy.version shouldBe 7
+                    val age = clock.nowMilliseconds() - table.confirmedAtMilliseconds.shouldNotBeNull()
+                    age shouldBeGreaterThanOrEqualTo AGE_OF_MEMBER_MILLISECONDS
+                    table.confirmedAtMilliseconds.shouldNotBeNull() shouldBeGreaterThanOrEqualTo
+                        startedAt - AGE_OF_MEMBER_MILLISECONDS
+                    table.outageEndedMillisecondsAgo shouldBe null
+                }
+            }
+        }
+
+        describe("a process without other members") {
+            it("reads from the store") {
+                follow(OpenStore(), memberPort = null) { table, _ -> table.keys shouldBe listOf("key") }
+            }
+        }
+    })
+
+private suspend fun serveMember(vertx: Vertx, port: Int) {
+    val clock = MonotonicClock
+    val copy = TableCopy(clock)
+    val rows = listOf(StoreRow("key", "value".toByteArray(), 5))
+    val confirmedAt = clock.nowMilliseconds() - AGE_OF_MEMBER_MILLISECONDS
+    copy.take(TableNews(rows, 7, isWhole = true, confirmedAt, outageEndedMillisecondsAgo = null))
+    MemberTableServer(vertx, clock, mapOf("recorded" to copy)).listen(TargetAddress(LOOPBACK, port))
+}
