Show the state of a gateway at its metrics address

Gauges for active and waiting requests, lag of the event loop, members, reader's rank, configuration's version and age, ages of the tables' copies, and targets by condition. memberPorts has to span three ports.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -49,6 +49,7 @@
                 .listen(TargetAddress(parts.settings.address, parts.settings.metricsPort))
             MemberTableServer(vertx, parts.ageClock, parts.copies)
                 .listen(TargetAddress(parts.settings.address, parts.settings.tablePort))
+            parts.registerGauges()
             every(DIGEST_MILLISECONDS) { digests.send() }
             every(DIGEST_NEWS_MILLISECONDS) { digests.applyNews() }
             every(LoopLag.PERIOD_MILLISECONDS) { parts.loopLag.note() }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
@@ -1,6 +1,8 @@
 package toucanrelay.gateway
 
 import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Tags
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -39,6 +41,11 @@
         firstByteOf(request.route.name).record(first - request.arrivedAtMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    /** Shows what [read] gives as [name] at each scrape; null is shown as not a number. */
+    fun gauge(name: String, tags: Tags = Tags.empty(), read: () -> Number?) {
+        Gauge.builder(name) { read()?.toDouble() ?: Double.NaN }.tags(tags).register(registry)
+    }
+
     /** All meters in the text format of Prometheus. */
     fun scrape(): String = registry.scrape()
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/SettingsLoader.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/SettingsLoader.kt
@@ -57,9 +57,9 @@
                 Err(SettingsProblem("memberPorts: allowed is [first, last]"))
             }
 
-            settings.memberPorts[0] >= settings.memberPorts[1] -> {
+            settings.memberPorts[1] - settings.memberPorts[0] < LEAST_PORT_DISTANCE -> {
                 Err(
-                    SettingsProblem("memberPorts: two ports are needed"),
+                    SettingsProblem("memberPorts: three ports are needed"),
                 )
             }
 
@@ -74,4 +74,7 @@
             }
         }
     }
+
+    /** Digests, metrics and copies of tables have a port each. */
+    private const val LEAST_PORT_DISTANCE = 2
 }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -112,6 +112,15 @@
             .map { it.statusCode() }
             .coAwait()
 
+    /** The page of metrics. */
+    suspend fun metrics(): String =
+        client
+            .request(HttpMethod.GET, memberPorts.first() + 1, LOOPBACK, "/")
+            .compose { it.send() }
+            .compose { it.body() }
+            .coAwait()
+            .toString()
+
     suspend fun eventually(condition: suspend () -> Boolean) {
         withTimeout(LIMIT_MILLISECONDS) { while (!condition()) delay(20) }
     }
@@ -120,7 +129,7 @@
 
     fun receivedCount() = targets.sumOf { it.received.size }
 
-    private val memberPorts = freePortPair().let { listOf(it, it + 1) }
+    private val memberPorts = freeMemberPort().let { listOf(it, it + 2) }
 
     private fun settings(revocationMilliseconds: Double) =
         GatewaySettings(
@@ -144,13 +153,14 @@
 
     private fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
-    /** A port that is free for datagrams, before one that is free for connections. */
-    private fun freePortPair(): Int = generateSequence { freePort() }.first { isFreePair(it) }
+    /** A port that is free for datagrams, before two that are free for connections. */
+    private fun freeMemberPort(): Int = generateSequence { freePort() }.first { isFreeForMember(it) }
 
-    private fun isFreePair(port: Int): Boolean =
+    private fun isFreeForMember(port: Int): Boolean =
         try {
             DatagramSocket(port).close()
             ServerSocket(port + 1).close()
+            ServerSocket(port + 2).close()
             true
         } catch (_: SocketException) {
             false
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import io.kotest.matchers.string.shouldContain
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -257,6 +258,16 @@
             }
         }
 
+        describe("the metrics") {
+            it("show the state of the process") {
+                start()
+                val page = fixture.metrics()
+                page shouldContain "toucanrelay_configuration_version 1.0"
+                page shouldContain "toucanrelay_targets{condition=\"sound\"} 2.0"
+                page shouldContain "toucanrelay_members 1.0"
+            }
+        }
+
         describe("a shutdown") {
             it("serves what is under way to its end and is no longer ready") {
                 start()
--- a/gateway/src/test/kotlin/toucanrelay/gateway/settings/SettingsLoaderTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/settings/SettingsLoaderTest.kt
@@ -29,6 +29,7 @@
                 "a missing field" to (WHOLE.replace("\"instance\":\"i\",", "") to "instance"),
                 "an address without a port" to (WHOLE.replace("10.0.0.2:90", "10.0.0.2") to "storeAddress"),
                 "one port for members" to (WHOLE.replace("[7400,7415]", "[7400]") to "memberPorts"),
+                "two ports for members" to (WHOLE.replace("[7400,7415]", "[7400,7401]") to "memberPorts"),
                 "an empty retry window" to
                     (WHOLE.replace("\"retryWindowSeconds\":10", "\"retryWindowSeconds\":0") to "retryWindowSeconds"),
             ).forEach { (what, case) ->
