Add a fault soak of the real gateway processes; remove members' rows that nobody needs

The soak (module soak, bin/soak SEEDS) runs three gateways as processes between stand-ins and loopback proxies: they are killed, stopped, paused and started again, their paths to the store and to targets are cut, silenced or delayed, the store refuses or loses answers, and a key is revoked meanwhile. It checks whole answers, orders at most once, true 503s, the revoked key and recovery.

Rows of members gone for ten minutes are removed by the first reader, unless they registered again. Log lines are written in batches of 50 ms, since each line woke a thread.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -10,16 +10,14 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
-import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.EpochClock
 import toucanrelay.gateway.follow.MemberTableServer
 import toucanrelay.gateway.http.PlainPage
 import toucanrelay.gateway.http.PlainPageServer
+import toucanrelay.gateway.log.EventLog
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.settings.SettingsLoader
-import toucanrelay.platform.MemberRegistration
-import toucanrelay.platform.MemberTable
 import java.nio.file.Path
 
 /** One gateway process: starts its parts, and stops them without cutting a request. */
@@ -33,7 +31,7 @@
     private val parts = GatewayParts(settings, vertx, scope)
     private val incarnation = EpochClock.nowMilliseconds()
     private val digests = DigestSender(parts, incarnation)
-    private val members = MemberTable(parts.store)
+    private val membership = Membership(parts, incarnation)
     private var settingsModifiedAt = lastModified()
 
     /** Binds all ports and begins to follow the store. */
@@ -41,7 +39,7 @@
         withContext(dispatcher) {
             parts.log.write("start", "instance" to parts.settings.instance, "incarnation" to incarnation)
             parts.followers.forEach { scope.launch { it.run() } }
-            scope.launch { joinFleet() }
+            scope.launch { membership.run() }
             parts.server.listen(GatewayParts.addressOf(parts.settings.callersAddress))
             PlainPageServer(vertx, ::readiness).listen(GatewayParts.addressOf(parts.settings.readinessAddress))
             digests.listen()
@@ -102,18 +100,6 @@
         return isIdle || elapsed >= limit - KILL_MARGIN_MILLISECONDS
     }
 
-    private suspend fun joinFleet() {
-        val address = TargetAddress(parts.settings.address, parts.settings.memberPort)
-        val self = MemberRegistration(parts.settings.instanceId, Incarnation(incarnation), address)
-        while (members.register(self).isErr) delay(JOIN_RETRY_MILLISECONDS)
-        while (true) {
-            members.read().onSuccess { all ->
-                all.forEach { parts.fleet.noteRegistered(it.instance, it.incarnation.value, it.address) }
-            }
-            delay(MEMBERS_READ_MILLISECONDS)
-        }
-    }
-
     private fun readiness(): PlainPage {
         return if (isReady()) PlainPage(STATUS_OK, "ready\n") else PlainPage(STATUS_UNAVAILABLE, "not ready\n")
     }
@@ -140,14 +126,10 @@
         private const val SILENCE_SWEEP_MILLISECONDS = 250L
         private const val SETTINGS_CHECK_MILLISECONDS = 2_000L
         private const val POOL_SWEEP_MILLISECONDS = 1_000L
-        private const val JOIN_RETRY_MILLISECONDS = 500L
-
-        /** Each member reads once after it has registered, so of any two the later one knows the earlier one. */
-        private const val MEMBERS_READ_MILLISECONDS = 30_000L
         private const val DIGEST_NEWS_MILLISECONDS = 40L
         private const val FORGET_MILLISECONDS = 5_000L
         private const val STOP_CHECK_MILLISECONDS = 50L
-        private const val LOG_FLUSH_MILLISECONDS = 20L
+        private const val LOG_FLUSH_MILLISECONDS = 2 * EventLog.BATCH_MILLISECONDS
 
         /** The balancer asks once a second and takes a process out after two misses. */
         private const val BALANCER_NOTICE_MILLISECONDS = 2_600L
--- a/gateway/src/main/kotlin/toucanrelay/gateway/log/EventLog.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/log/EventLog.kt
@@ -11,6 +11,7 @@
 /**
  * Writes one JSON line for each event to standard output.
  *
+ * Lines are written in batches, since waking a thread and a write for each of them would cost more than the lines do.
  * A line is dropped and counted when more arrive than the rate allows or standard output is slower than the events, so
  * that logging never blocks the event loop and its memory stays bounded.
  */
@@ -55,16 +56,22 @@
     }
 
     private fun writeForever() {
+        val batch = ArrayList<String>(QUEUED_LINES)
         while (true) {
-            val line = lines.take()
-            Logger.info { line }
+            batch += lines.take()
+            Thread.sleep(BATCH_MILLISECONDS)
+            lines.drainTo(batch)
+            Logger.info { batch.joinToString("\n") }
+            batch.clear()
         }
     }
 
-    private companion object {
-        const val QUEUED_LINES = 2_000
-        const val LINES_PER_SECOND = 300.0
-        const val LINES_IN_A_BURST = 600.0
-        const val INITIAL_CHARACTERS = 200
+    internal companion object {
+        /** Lines of this time are written together. */
+        const val BATCH_MILLISECONDS = 50L
+        private const val QUEUED_LINES = 2_000
+        private const val LINES_PER_SECOND = 300.0
+        private const val LINES_IN_A_BURST = 600.0
+        private const val INITIAL_CHARACTERS = 200
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -35,7 +35,12 @@
     }
 
     private val members = HashMap<InstanceId, Member>()
-    private val forgottenIncarnations = HashMap<InstanceId, Long>()
+    private val forgotten = HashMap<InstanceId, Forgotten>()
+
+    private class Forgotten(
+        val incarnation: Long,
+        val atMilliseconds: Long,
+    )
 
     /** Addresses of the members in this process's region, and of those whose region is not known yet. */
     val nearAddresses: List<TargetAddress>
@@ -55,7 +60,7 @@
 
     /** Notes that [instance] registered its run [incarnation] at [address]. */
     fun noteRegistered(instance: InstanceId, incarnation: Long, address: TargetAddress) {
-        if (instance == self || incarnation <= (forgottenIncarnations[instance] ?: Long.MIN_VALUE)) return
+        if (instance == self || incarnation <= (forgotten[instance]?.incarnation ?: Long.MIN_VALUE)) return
         val member = members.getOrPut(instance) { Member(address, incarnation, clock.nowMilliseconds()) }
         member.address = address
         member.incarnation = maxOf(member.incarnation, incarnation)
@@ -67,10 +72,14 @@
         val silent = members.filterValues { it.heardAtMilliseconds < oldest }
         silent.forEach { (instance, member) ->
             members.remove(instance)
-            forgottenIncarnations[instance] = member.incarnation
+            forgotten[instance] = Forgotten(member.incarnation, clock.nowMilliseconds())
         }
     }
 
+    /** How long ago [instance] was forgotten; null when it was not, or was heard since. */
+    fun forgottenMilliseconds(instance: InstanceId): Long? =
+        forgotten[instance]?.let { clock.nowMilliseconds() - it.atMilliseconds }
+
     /** This process's place among the live members of its region that may read from the store. */
     fun readerRank(): Int =
         ReaderRank.of(self, members.filterValues { isLive(it) && isNear(it) && it.digest?.isLeaving == false }.keys)
@@ -101,6 +110,7 @@
         val instance = InstanceId(digest.instance)
         if (instance == self) return false
         val now = clock.nowMilliseconds()
+        forgotten.remove(instance)
         val member = members.getOrPut(instance) { Member(address, digest.incarnation, now) }
         if (isOlder(digest, member.digest)) return false
         member.digest = digest
--- /dev/null
+++ b/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
@@ -0,0 +1,313 @@
+package toucanrelay.soak
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import toucanrelay.core.time.MonotonicClock
+import toucanrelay.gateway.settings.Bounds
+import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.platform.standin.ConfigurationStandIn
+import toucanrelay.platform.standin.ModelCallStandIn
+import toucanrelay.platform.standin.ReceivedRequest
+import toucanrelay.platform.standin.StoreBehaviour
+import toucanrelay.platform.standin.StoreStandIn
+import toucanrelay.platform.standin.TargetScript
+import toucanrelay.platform.standin.TargetStandIn
+import toucanrelay.platform.standin.configurationDocument
+import toucanrelay.standins.CuttableLink
+import toucanrelay.standins.LinkSettings
+import java.net.ServerSocket
+
+private const val LOOPBACK = "127.0.0.1"
+private const val KEPT_KEY = "key-kept"
+private const val REVOKED_KEY = "key-revoked"
+private const val REVOCATION_MILLISECONDS = 3_000L
+private const val REVOKED_AFTER_MILLISECONDS = 4_000L
+private const val CALLERS = 6
+private const val CALL_PAUSE_MILLISECONDS = 15L
+private const val CALL_LIMIT_MILLISECONDS = 6_000L
+private const val EVENT_PAUSE_MILLISECONDS = 15L
+private const val RECOVERY_LIMIT_MILLISECONDS = 15_000L
+
+/** One run: gateways as processes between stand-ins, callers that press all the time, and the faults of a seed. */
+internal class SoakRun(
+    private val seed: Long,
+) {
+    private val clock = MonotonicClock
+    private val vertx = Vertx.vertx()
+    private val store = StoreStandIn(vertx)
+    private val targets = List(FaultPlan.GATEWAYS) { TargetStandIn(vertx, "target-$it") }
+    private val client =
+        vertx.createHttpClient(HttpClientOptions().setKeepAlive(true), PoolOptions().setHttp1MaxSize(CALLERS * 2))
+    private val ledger = Ledger()
+    private val ports = List(FaultPlan.GATEWAYS) { freePorts() }
+    private lateinit var storeLinks: List<CuttableLink>
+    private lateinit var targetLinks: List<CuttableLink>
+    private lateinit var gateways: List<GatewayProcess>
+    private var calls = 0
+
+    /** Runs to the end and returns what was wrong. */
+    suspend fun run(): List<String> {
+        try {
+            start()
+            val revokedAt = press()
+            val problems = ledger.problems(REVOKED_KEY, revokedAt + REVOCATION_MILLISECONDS) + awaitRecovery()
+            return problems + listOfNotNull("nothing was answered".takeIf { ledger.answered == 0 })
+        } finally {
+            gateways.forEach { it.kill() }
+            (storeLinks + targetLinks).forEach { it.stop() }
+            vertx.close().coAwait()
+        }
+    }
+
+    private suspend fun start() {
+        store.start()
+        targets.forEach { it.start() }
+        targets.forEach { it.script = TargetScript(::answer) }
+        store.putConfiguration(configuration(1, KEPT_KEY, REVOKED_KEY))
+        storeLinks = targets.indices.map { CuttableLink(LinkSettings(store.address.port), vertx) }
+        targetLinks = targets.map { CuttableLink(LinkSettings(it.port), vertx) }
+        targets.zip(targetLinks).forEach { (target, link) ->
+            val registration = target.registration("service", "domain", slots = SLOTS)
+            store.putRegistration(
+                target.id,
+                registration.replace("$LOOPBACK:${target.port}", "$LOOPBACK:${link.start()}"),
+            )
+        }
+        val directory = GatewayProcess.directoryOf(seed)
+        gateways = storeLinks.mapIndexed { index, link -> GatewayProcess(settings(index, link.start()), directory) }
+        gateways.forEach { it.start() }
+        check(awaitRecovery().isEmpty()) { "the gateways did not start" }
+    }
+
+    /** Presses while the faults come; returns when the key was revoked. */
+    private suspend fun press(): Long =
+        coroutineScope {
+            val startedAt = clock.nowMilliseconds()
+            val callers = List(CALLERS) { caller -> launch { callForever(caller) } }
+            val faults = FaultPlan(seed).faults.map { fault -> launch(Dispatchers.IO) { inflict(fault) } }
+            delay(REVOKED_AFTER_MILLISECONDS)
+            store.putConfiguration(configuration(2, KEPT_KEY))
+            val revokedAt = clock.nowMilliseconds()
+            faults.forEach { it.join() }
+            delay(maxOf(0, startedAt + FaultPlan.END_MILLISECONDS - clock.nowMilliseconds()))
+            callers.forEach { it.cancel() }
+            revokedAt
+        }
+
+    private suspend fun inflict(fault: Fault) {
+        delay(fault.atMilliseconds)
+        val gateway = gateways[fault.index]
+        val storeLink = storeLinks[fault.index]
+        val targetLink = targetLinks[fault.index]
+        when (fault.kind) {
+            FaultKind.KILL_GATEWAY -> {
+                restart(gateway) { gateway.kill() }
+            }
+
+            FaultKind.STOP_GATEWAY -> {
+                restart(gateway) { gateway.stop() }
+            }
+
+            FaultKind.PAUSE_GATEWAY -> {
+                during(fault, { gateway.pause() }, { gateway.resume() })
+            }
+
+            FaultKind.CUT_STORE_LINK -> {
+                during(fault, { storeLink.cut() }, { storeLink.restore() })
+            }
+
+            FaultKind.SILENCE_STORE_LINK -> {
+                during(fault, { storeLink.silenceAll() }, { storeLink.restore() })
+            }
+
+            FaultKind.DELAY_STORE_LINK -> {
+                during(fault, { storeLink.delayMilliseconds = 400 }, {
+                    storeLink.delayMilliseconds =
+                        0
+                })
+            }
+
+            FaultKind.REFUSE_STORE -> {
+                during(fault, { store.behaviour = StoreBehaviour.REFUSE }, ::serveStore)
+            }
+
+            FaultKind.LOSE_STORE_ANSWERS -> {
+                during(fault, { store.behaviour = StoreBehaviour.LOSE_ANSWERS }, ::serveStore)
+            }
+
+            FaultKind.BREAK_TARGET_CONNECTIONS -> {
+                targetLink.breakConnections()
+            }
+
+            FaultKind.SILENCE_TARGET_CONNECTIONS -> {
+                targetLink.silence()
+            }
+        }
+    }
+
+    private suspend fun serveStore() {
+        store.behaviour = StoreBehaviour.SERVE
+    }
+
+    private suspend fun during(fault: Fault, begin: suspend () -> Unit, end: suspend () -> Unit) {
+        begin()
+        delay(fault.forMilliseconds)
+        end()
+    }
+
+    /** A process that was paused has to go on before it can end, and restarts of one gateway come one by one. */
+    private fun restart(gateway: GatewayProcess, end: () -> Unit) =
+        synchronized(gateway) {
+            gateway.resume()
+            end()
+            gateway.start()
+        }
+
+    private suspend fun CoroutineScope.callForever(caller: Int) {
+        while (isActive) {
+            val number = calls++
+            val kind = CallKind.entries[number % CallKind.entries.size]
+            val key = if (number % 2 == 0) KEPT_KEY else REVOKED_KEY
+            call("seed-$seed-$caller-$number", kind, key, number % FaultPlan.GATEWAYS)
+            delay(CALL_PAUSE_MILLISECONDS)
+        }
+    }
+
+    private suspend fun call(
+        id: String,
+        kind: CallKind,
+        key: String,
+        gateway: Int,
+    ): Int? {
+        val sentAt = clock.nowMilliseconds()
+        val answer = withTimeoutOrNull(CALL_LIMIT_MILLISECONDS) { send(id, kind, key, gateway) }
+        ledger.noteCall(SeenCall(id, kind, key, sentAt, answer?.first, answer?.second))
+        return answer?.first
+    }
+
+    /** Status and whole body; null when the connection ended before the answer was whole. */
+    private suspend fun send(
+        id: String,
+        kind: CallKind,
+        key: String,
+        gateway: Int,
+    ): Pair<Int, String>? {
+        val options =
+            RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(LOOPBACK)
+                .setPort(ports[gateway].first())
+                .setURI(kind.path)
+        return runCatching {
+            client
+                .request(options)
+                .compose { request ->
+                    request.putHeader("Host", ConfigurationStandIn.HOST)
+                    ModelCallStandIn.write(
+                        request.headers(),
+                        key,
+                        deadlineMilliseconds = DEADLINE_MILLISECONDS,
+                        id = id,
+                    )
+                    request.send(Buffer.buffer("body")).compose { response ->
+                        response.body().map { response.statusCode() to it.toString() }
+                    }
+                }.coAwait()
+        }.getOrNull()
+    }
+
+    private fun answer(request: HttpServerRequest, got: ReceivedRequest, helper: TargetStandIn) {
+        ledger.noteRun(got.id)
+        if (!got.path.startsWith("/streams/")) {
+            vertx.setTimer(EVENT_PAUSE_MILLISECONDS) { helper.answerWhole(request, got, "whole ${got.id}") }
+            return
+        }
+        val after = got.headers["last-event-id"]?.toInt() ?: 0
+        helper.beginStream(request, got)
+        streamFrom(request, after + 1)
+    }
+
+    private fun streamFrom(request: HttpServerRequest, number: Int) {
+        val response = request.response()
+        when {
+            response.closed() -> {
+                return
+            }
+
+            number > Ledger.EVENTS -> {
+                response.end()
+            }
+
+            else -> {
+                response.write(Ledger.eventOf(number))
+                vertx.setTimer(EVENT_PAUSE_MILLISECONDS) { streamFrom(request, number + 1) }
+            }
+        }
+    }
+
+    /** Waits until all gateways serve again; tells which ones do not. */
+    private suspend fun awaitRecovery(): List<String> =
+        withContext(Dispatchers.Default) {
+            val limit = clock.nowMilliseconds() + RECOVERY_LIMIT_MILLISECONDS
+            gateways.indices.mapNotNull { gateway ->
+                var isServing = false
+                while (!isServing && clock.nowMilliseconds() < limit) {
+                    isServing = call("recovery-$seed-${calls++}", CallKind.READ, KEPT_KEY, gateway) == STATUS_OK
+                    if (!isServing) delay(RECOVERY_PAUSE_MILLISECONDS)
+                }
+                if (isServing) null else "gateway $gateway does not serve after all faults"
+            }
+        }
+
+    private fun configuration(version: Long, vararg keys: String) =
+        configurationDocument(version) {
+            route("/reads/", "service", "idempotent")
+            route("/orders/", "service", "non_idempotent", attempts = 2)
+            route("/streams/", "service", "streaming", isResumable = true)
+            service("service")
+            organisation("one", *keys)
+        }
+
+    private fun settings(index: Int, storePort: Int) =
+        GatewaySettings(
+            instance = "gateway-$index",
+            failureDomain = "domain",
+            regions = mapOf("domain" to "region"),
+            address = LOOPBACK,
+            callersAddress = "$LOOPBACK:${ports[index][0]}",
+            readinessAddress = "$LOOPBACK:${ports[index][1]}",
+            memberPorts = listOf(ports[index][2], ports[index][2] + 2),
+            storeAddress = "$LOOPBACK:$storePort",
+            bounds =
+                Bounds(
+                    revocationMilliseconds = REVOCATION_MILLISECONDS.toDouble(),
+                    shutdownSeconds = 4.0,
+                    retryRatio = 0.2,
+                    retryReserve = 50.0,
+                    retryWindowSeconds = 10.0,
+                ),
+        )
+
+    private fun freePorts(): List<Int> = List(3) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
+
+    private companion object {
+        const val SLOTS = 32
+        const val STATUS_OK = 200
+        const val DEADLINE_MILLISECONDS = 4_000L
+        const val RECOVERY_PAUSE_MILLISECONDS = 100L
+    }
+}
