Warm a gateway up while it is idle; blame no target while the process itself is behind

A new process that nobody calls now runs its self-test until callers come. The silence watch pauses while the event loop is behind. The lag is smoothed and counts from 200 ms on.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -4,14 +4,17 @@
 import com.github.michaelbull.result.onSuccess
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.coAwait
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.EpochClock
+import toucanrelay.core.time.MonotonicClock
 import toucanrelay.gateway.follow.MemberTableServer
 import toucanrelay.gateway.http.PlainPage
 import toucanrelay.gateway.http.PlainPageServer
@@ -25,10 +28,11 @@
     settings: GatewaySettings,
     private val settingsFile: Path,
     private val vertx: Vertx = Vertx.vertx(singleEventLoop()),
+    log: EventLog = EventLog(MonotonicClock),
 ) {
     private val dispatcher = vertx.orCreateContext.dispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val parts = GatewayParts(settings, vertx, scope)
+    private val parts = GatewayParts(settings, vertx, scope, log)
     private val incarnation = EpochClock.nowMilliseconds()
     private val digests = DigestSender(parts, incarnation)
     private val membership = Membership(parts, incarnation)
@@ -57,6 +61,16 @@
             every(SETTINGS_CHECK_MILLISECONDS) { reloadIfChanged() }
         }
 
+    /** Whether any caller has sent a request. */
+    val hasBeenCalled: Boolean
+        get() = parts.server.hasBeenCalled
+
+    /** Ends all work at once. */
+    suspend fun close() {
+        scope.cancel()
+        vertx.close().coAwait()
+    }
+
     /** Reads the settings file again; settings that cannot be used are reported and the old ones stay. */
     fun reload() {
         SettingsLoader
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
@@ -35,9 +35,9 @@
     @Volatile var settings: GatewaySettings,
     val vertx: Vertx,
     val scope: CoroutineScope,
+    val log: EventLog = EventLog(MonotonicClock),
 ) {
     val clock = MonotonicClock
-    val log = EventLog(clock)
     val meters = GatewayMeters()
 
     /** Tells the ages of what the store said. */
@@ -48,9 +48,9 @@
     val fleet = FleetView(settings.instanceId, settings.region, clock) { settings.regionOf(it) }
     val reads = RecentReads()
     val usage = OrganisationUsage(clock)
-    val silence = SilenceWatch(clock)
-    val store = StoreClient(vertx, addressOf(settings.storeAddress))
     val loopLag = LoopLag(clock)
+    val silence = SilenceWatch(clock) { loopLag.milliseconds }
+    val store = StoreClient(vertx, addressOf(settings.storeAddress))
 
     private val shares = FairShares(clock, usage, fleet)
     private val placer = Placer(settings, clock, pool, fleet, shares, reads)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/LoopLag.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/LoopLag.kt
@@ -5,37 +5,37 @@
 /**
  * Measures how far the event loop is behind, from a periodic timer that is late by as much.
  *
- * What callers send waits unread for about as long.
+ * What callers send waits unread for about as long, and a request takes several turns of the loop.
  */
 internal class LoopLag(
     private val clock: Clock,
 ) {
     private var notedAtMilliseconds = clock.nowMilliseconds()
-    private var largest = 0L
-    private var largestAtMilliseconds = notedAtMilliseconds
+    private var smoothed = 0.0
 
-    /** How far the loop was behind at most, lately. */
+    /** How far the loop is behind, lately. */
     val milliseconds: Long
-        get() = if (clock.nowMilliseconds() - largestAtMilliseconds <= MEMORY_MILLISECONDS) largest else 0
+        get() = smoothed.toLong()
 
-    /** Whether requests have waited unread for so long that others should take them. */
+    /** Whether requests take so long to be read that others should take them. */
     val isOverloaded: Boolean
-        get() = milliseconds >= OVERLOADED_MILLISECONDS
+        get() = smoothed >= OVERLOADED_MILLISECONDS
 
     /** Called by a timer each [PERIOD_MILLISECONDS]. */
     fun note() {
         val now = clock.nowMilliseconds()
-        val lag = maxOf(0, now - notedAtMilliseconds - PERIOD_MILLISECONDS)
+        val elapsed = maxOf(now - notedAtMilliseconds, PERIOD_MILLISECONDS)
         notedAtMilliseconds = now
-        if (lag < milliseconds) return
-        largest = lag
-        largestAtMilliseconds = now
+        val weight = minOf(1.0, elapsed.toDouble() / MEMORY_MILLISECONDS)
+        smoothed += (elapsed - PERIOD_MILLISECONDS - smoothed) * weight
     }
 
     internal companion object {
         /** Period of the timer. */
         const val PERIOD_MILLISECONDS = 50L
-        private const val MEMORY_MILLISECONDS = 400L
-        private const val OVERLOADED_MILLISECONDS = 400L
+        private const val MEMORY_MILLISECONDS = 400.0
+
+        /** Above what a core lags that is given in slices of a tenth of a second. */
+        private const val OVERLOADED_MILLISECONDS = 200.0
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
@@ -10,10 +10,12 @@
 import org.kohsuke.args4j.Option
 import sun.misc.Signal
 import toucanrelay.gateway.selftest.SelfTest
+import toucanrelay.gateway.selftest.WarmUp
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.settings.SettingsLoader
 import toucanrelay.platform.SettingsLocation
 import java.nio.file.Path
+import kotlin.concurrent.thread
 import kotlin.system.exitProcess
 
 private const val EXIT_OK = 0
@@ -85,6 +87,7 @@
         System.err.println("toucanrelay-gateway: cannot start: $failure")
         exitProcess(EXIT_FAILED)
     }
+    thread(isDaemon = true, name = "warm-up") { runBlocking { WarmUp.run { gateway.hasBeenCalled } } }
     Signal.handle(Signal("HUP")) { gateway.reload() }
     Runtime.getRuntime().addShutdownHook(Thread { runBlocking { gateway.stop() } })
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/SilenceWatch.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/SilenceWatch.kt
@@ -6,11 +6,15 @@
  * Finds attempts at targets that have gone silent, so that requests that may run again go elsewhere in time.
  *
  * An engine sends events for someone all the time, so silence on all connections tells a lost target or path from one
- * that is merely busy. A request that may not run elsewhere is left to its deadline.
+ * that is merely busy. A request that may not run elsewhere is left to its deadline. While the process itself is behind
+ * with reading, silence tells nothing.
  */
 internal class SilenceWatch(
     private val clock: Clock,
+    private val ownLagMilliseconds: () -> Long,
 ) {
+    private var laggedAtMilliseconds = Long.MIN_VALUE / 2
+
     private val attempts = LinkedHashSet<Attempt>()
 
     /** Watches [attempt] while [block] runs. */
@@ -26,6 +30,8 @@
     /** Abandons the attempts whose targets have been silent for too long; called several times a second. */
     fun sweep() {
         val now = clock.nowMilliseconds()
+        if (ownLagMilliseconds() >= LAG_THAT_COUNTS_MILLISECONDS) laggedAtMilliseconds = now
+        if (now - laggedAtMilliseconds < TRUSTED_AFTER_LAG_MILLISECONDS) return
         attempts.filter { it.mayRunElsewhere && isSilent(it, now) }.forEach { it.abandon() }
     }
 
@@ -33,4 +39,9 @@
         val lastSign = maxOf(attempt.sentAtMilliseconds, attempt.target.health.heardAtMilliseconds)
         return now - lastSign > attempt.longestSilenceMilliseconds
     }
+
+    private companion object {
+        const val LAG_THAT_COUNTS_MILLISECONDS = 120L
+        const val TRUSTED_AFTER_LAG_MILLISECONDS = 1_000L
+    }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/MemberTables.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/MemberTables.kt
@@ -136,6 +136,6 @@
         )
 
     private companion object {
-        const val TIMEOUT_MILLISECONDS = 500L
+        const val TIMEOUT_MILLISECONDS = 900L
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -36,6 +36,11 @@
     var active: Int = 0
         private set
 
+    /** Whether any request has come. */
+    @Volatile
+    var hasBeenCalled: Boolean = false
+        private set
+
     /** Whether the process drains, so that connections are closed after their present request. */
     var isDraining: Boolean = false
 
@@ -61,6 +66,7 @@
         val arrivedAt = parts.clock.nowMilliseconds() - unreadMilliseconds()
         val responder = CallerResponder(request) { isDraining }
         active++
+        hasBeenCalled = true
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { serve(request, responder, arrivedAt) }
         job.invokeOnCompletion { active-- }
         watchCaller(request, responder, job)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/log/EventLog.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/log/EventLog.kt
@@ -14,16 +14,19 @@
  * Lines are written in batches, since waking a thread and a write for each of them would cost more than the lines do.
  * A line is dropped and counted when more arrive than the rate allows or standard output is slower than the events, so
  * that logging never blocks the event loop and its memory stays bounded.
+ *
+ * @param isWritten whether lines go to standard output; else they are made and dropped.
  */
 internal class EventLog(
     private val clock: Clock,
+    private val isWritten: Boolean = true,
 ) {
     private val lines = ArrayBlockingQueue<String>(QUEUED_LINES)
     private val dropped = AtomicLong()
     private val rate = TokenBucket(clock, LINES_PER_SECOND, LINES_IN_A_BURST)
 
     init {
-        thread(isDaemon = true, name = "event-log") { writeForever() }
+        if (isWritten) thread(isDaemon = true, name = "event-log") { writeForever() }
     }
 
     /** Writes an event with [fields]; null values are left out. */
@@ -33,6 +36,7 @@
             return
         }
         val line = format(event, fields)
+        if (!isWritten) return
         if (!lines.offer(line)) dropped.incrementAndGet()
     }
 
