Compare the age of a passed-on table with the truth, not with the test's own start

The lower bound was wrong: an age that is told counts the time of the answer too, so it may lie that much before the truth, and must never lie after it, which the test now checks.

--- a/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableFollowerTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableFollowerTest.kt
@@ -71,7 +71,12 @@
     DescribeSpec({
         val clock = MonotonicClock
 
-        suspend fun follow(store: TableReader, memberPort: Int?, check: suspend (RecordedTable, TableCopy) -> Unit) {
+        suspend fun follow(
+            store: TableReader,
+            memberPort: Int?,
+            memberConfirmedAt: Long = 0,
+            check: suspend (RecordedTable, TableCopy) -> Unit,
+        ) {
             val vertx = Vertx.vertx()
             val scope = CoroutineScope(vertx.orCreateContext.dispatcher() + Job())
             withContext(scope.coroutineContext) {
@@ -80,7 +85,7 @@
                     val tables = listOf(TableAgeEntry("recorded", 0))
                     val port = memberPort - TableFollower.TABLE_PORT_OFFSET
                     fleet.note(MemberDigest("member", 1, 1, tables = tables), TargetAddress(LOOPBACK, port))
-                    serveMember(vertx, memberPort)
+                    serveMember(vertx, memberPort, memberConfirmedAt)
                 }
                 val table = RecordedTable()
                 val copy = TableCopy(clock)
@@ -97,14 +102,14 @@
         describe("a process that the store turns away") {
             it("goes on with what a member read, whose age counts from before it asked") {
                 val port = ServerSocket(0).use { it.localPort }
-                val startedAt = clock.nowMilliseconds()
-                follow(ClosedStore, port) { table, copy ->
+                val confirmedAt = clock.nowMilliseconds() - AGE_OF_MEMBER_MILLISECONDS
+                follow(ClosedStore, port, confirmedAt) { table, copy ->
                     table.keys shouldBe listOf("key")
                     copy.version shouldBe 7
-                    val age = clock.nowMilliseconds() - table.confirmedAtMilliseconds.shouldNotBeNull()
-                    age shouldBeGreaterThanOrEqualTo AGE_OF_MEMBER_MILLISECONDS
+                    // The copy is never taken to be fresher than it was, by as much as the answer took to come.
+                    confirmedAt shouldBeGreaterThanOrEqualTo table.confirmedAtMilliseconds.shouldNotBeNull()
                     table.confirmedAtMilliseconds.shouldNotBeNull() shouldBeGreaterThanOrEqualTo
-                        startedAt - AGE_OF_MEMBER_MILLISECONDS
+                        confirmedAt - LIMIT_MILLISECONDS
                     table.outageEndedMillisecondsAgo shouldBe null
                 }
             }
@@ -117,11 +122,10 @@
         }
     })
 
-private suspend fun serveMember(vertx: Vertx, port: Int) {
+private suspend fun serveMember(vertx: Vertx, port: Int, confirmedAt: Long) {
     val clock = MonotonicClock
     val copy = TableCopy(clock)
     val rows = listOf(StoreRow("key", "value".toByteArray(), 5))
-    val confirmedAt = clock.nowMilliseconds() - AGE_OF_MEMBER_MILLISECONDS
     copy.take(TableNews(rows, 7, isWhole = true, confirmedAt, outageEndedMillisecondsAgo = null))
     MemberTableServer(vertx, clock, mapOf("recorded" to copy)).listen(TargetAddress(LOOPBACK, port))
 }
