--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -29,10 +29,11 @@
     private val settingsFile: Path,
     private val vertx: Vertx = Vertx.vertx(singleEventLoop()),
     log: EventLog = EventLog(MonotonicClock),
+    loopLag: LoopLag = LoopLag(MonotonicClock),
 ) {
     private val dispatcher = vertx.orCreateContext.dispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val parts = GatewayParts(settings, vertx, scope, log)
+    private val parts = GatewayParts(settings, vertx, scope, log, loopLag)
     private val incarnation = EpochClock.nowMilliseconds()
     private val digests = DigestSender(parts, incarnation)
     private val membership = Membership(parts, incarnation)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
@@ -36,6 +36,7 @@
     val vertx: Vertx,
     val scope: CoroutineScope,
     val log: EventLog = EventLog(MonotonicClock),
+    val loopLag: LoopLag = LoopLag(MonotonicClock),
 ) {
     val clock = MonotonicClock
     val meters = GatewayMeters()
@@ -48,7 +49,6 @@
     val fleet = FleetView(settings.instanceId, settings.region, clock) { settings.regionOf(it) }
     val reads = RecentReads()
     val usage = OrganisationUsage(clock)
-    val loopLag = LoopLag(clock)
     val silence = SilenceWatch(clock) { loopLag.milliseconds }
     val store = StoreClient(vertx, addressOf(settings.storeAddress))
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/LoopLag.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/LoopLag.kt
@@ -6,9 +6,12 @@
  * Measures how far the event loop is behind, from a periodic timer that is late by as much.
  *
  * What callers send waits unread for about as long, and a request takes several turns of the loop.
+ *
+ * @param overloadedMilliseconds the lag from which on the process is overloaded.
  */
 internal class LoopLag(
     private val clock: Clock,
+    private val overloadedMilliseconds: Double = OVERLOADED_MILLISECONDS,
 ) {
     private var notedAtMilliseconds = clock.nowMilliseconds()
     private var smoothed = 0.0
@@ -19,7 +22,7 @@
 
     /** Whether requests take so long to be read that others should take them. */
     val isOverloaded: Boolean
-        get() = smoothed >= OVERLOADED_MILLISECONDS
+        get() = smoothed >= overloadedMilliseconds
 
     /** Called by a timer each [PERIOD_MILLISECONDS]. */
     fun note() {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.json.Json
+import toucanrelay.core.time.MonotonicClock
 import toucanrelay.gateway.settings.Bounds
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.platform.standin.ConfigurationStandIn
@@ -45,13 +46,21 @@
     private val readinessPort = freePort()
     lateinit var gateway: Gateway
 
-    suspend fun start(revocationMilliseconds: Double = 5_000.0, settingsFile: Path = Path.of("/nowhere")) {
+    /** Starts all; the lag of a busy test machine makes no gateway refuse, unless [isOverloaded] makes it so at once. */
+    suspend fun start(
+        revocationMilliseconds: Double = 5_000.0,
+        settingsFile: Path = Path.of("/nowhere"),
+        isOverloaded: Boolean = false,
+    ) {
         store.start()
         targets.forEach { it.start() }
         targets.forEach { store.putRegistration(it.id, it.registration("models", "domain")) }
         store.putConfiguration(configuration(1))
-        gateway = Gateway(settings(revocationMilliseconds), settingsFile, gatewayVertx)
+        val limit = if (isOverloaded) 0.0 else Double.POSITIVE_INFINITY
+        val loopLag = LoopLag(MonotonicClock, overloadedMilliseconds = limit)
+        gateway = Gateway(settings(revocationMilliseconds), settingsFile, gatewayVertx, loopLag = loopLag)
         gateway.start()
+        if (isOverloaded) return
         eventually { send("/calls/x").status == 200 }
         targets.forEach { it.received.clear() }
     }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
@@ -258,6 +258,18 @@
             }
         }
 
+        describe("a process that is far behind with reading") {
+            it("refuses at once, sends nothing on and is not ready") {
+                fixture = GatewayFixture()
+                fixture.start(isOverloaded = true)
+                val answer = fixture.send("/calls/x")
+                answer.status shouldBe 503
+                answer.headers["retry-after"] shouldNotBe null
+                fixture.readiness() shouldBe 503
+                fixture.receivedCount() shouldBe 0
+            }
+        }
+
         describe("the metrics") {
             it("show the state of the process") {
                 start()
