--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayParts.kt
@@ -35,8 +35,8 @@
     @Volatile var settings: GatewaySettings,
     val vertx: Vertx,
     val scope: CoroutineScope,
-    val log: EventLog = EventLog(MonotonicClock),
-    val loopLag: LoopLag = LoopLag(MonotonicClock),
+    val log: EventLog,
+    val loopLag: LoopLag,
 ) {
     val clock = MonotonicClock
     val meters = GatewayMeters()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableFollower.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableFollower.kt
@@ -11,6 +11,7 @@
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.gateway.member.FleetView
 import toucanrelay.gateway.member.TableOffer
+import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.platform.StoreError
 import toucanrelay.platform.TableReader
 
@@ -50,16 +51,23 @@
             isUrgent = table.isUrgent,
         )
 
-    private suspend fun askStore() {
+    /** Asks for changes after version [after], or for all rows when it is null or the store has forgotten it. */
+    private suspend fun askStore(after: Long? = copy.version) {
         val askedAt = clock.nowMilliseconds()
-        val known = copy.version
         val answer =
-            if (known == null) store.rows(table.nameInStore) else store.changes(table.nameInStore, known)
+            if (after == null) store.rows(table.nameInStore) else store.changes(table.nameInStore, after)
         calledAtMilliseconds = clock.nowMilliseconds()
         answer
-            .map { TableNews(it.rows, it.version, isWhole = known == null, askedAt, outageEndedMillisecondsAgo = null) }
+            .map { TableNews(it.rows, it.version, isWhole = after == null, askedAt, outageEndedMillisecondsAgo = null) }
             .onSuccess { takeFromStore(it) }
-            .onFailure { noteFailure(it, askedAt) }
+            .onFailure { error ->
+                if (error == StoreError.HistoryGone && after != null) {
+                    log.write("store-history-gone", "table" to table.name, "version" to after)
+                    askStore(after = null)
+                } else {
+                    noteFailure(error, askedAt)
+                }
+            }
     }
 
     private fun takeFromStore(news: TableNews) {
@@ -85,7 +93,7 @@
     }
 
     private suspend fun askMember(offer: TableOffer) {
-        val address = offer.address.copy(port = offer.address.port + TABLE_PORT_OFFSET)
+        val address = offer.address.copy(port = offer.address.port + GatewaySettings.TABLE_PORT_OFFSET)
         members
             .read(address, table.name, copy.version)
             .onSuccess { news ->
@@ -101,31 +109,15 @@
         if (copy.take(news)) table.take(news.rows, news.isWhole, news.confirmedAtMilliseconds)
     }
 
-    private suspend fun noteFailure(error: StoreError, askedAt: Long) {
-        if (error == StoreError.HistoryGone) {
-            log.write("store-history-gone", "table" to table.name, "version" to copy.version)
-            return readWhole(askedAt)
-        }
+    private fun noteFailure(error: StoreError, askedAt: Long) {
         failures++
-        if (lostAtMilliseconds == null) {
-            lostAtMilliseconds = askedAt
-            log.write("store-lost", "table" to table.name, "detail" to error.detail)
-        }
-    }
-
-    private suspend fun readWhole(askedAt: Long) {
-        store
-            .rows(table.nameInStore)
-            .map { TableNews(it.rows, it.version, isWhole = true, askedAt, outageEndedMillisecondsAgo = null) }
-            .onSuccess { takeFromStore(it) }
-            .onFailure { error -> if (error != StoreError.HistoryGone) noteFailure(error, askedAt) else failures++ }
-        calledAtMilliseconds = clock.nowMilliseconds()
+        if (lostAtMilliseconds != null) return
+        lostAtMilliseconds = askedAt
+        log.write("store-lost", "table" to table.name, "detail" to error.detail)
     }
 
-    internal companion object {
-        /** The port for tables comes after those for datagrams and for metrics. */
-        const val TABLE_PORT_OFFSET = 2
-        private const val PAUSE_MILLISECONDS = 50L
-        private const val LEAST_OUTAGE_MILLISECONDS = 1_500L
+    private companion object {
+        const val PAUSE_MILLISECONDS = 50L
+        const val LEAST_OUTAGE_MILLISECONDS = 1_500L
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -34,14 +34,14 @@
         var offersFailedUntilMilliseconds = Long.MIN_VALUE
     }
 
-    private val members = HashMap<InstanceId, Member>()
-    private val forgotten = HashMap<InstanceId, Forgotten>()
-
     private class Forgotten(
         val incarnation: Long,
         val atMilliseconds: Long,
     )
 
+    private val members = HashMap<InstanceId, Member>()
+    private val forgotten = HashMap<InstanceId, Forgotten>()
+
     /** Addresses of the members in this process's region, and of those whose region is not known yet. */
     val nearAddresses: List<TargetAddress>
         get() = members.values.filter { isNear(it) }.map { it.address }
@@ -86,7 +86,7 @@
 
     /** The freshest copy of [table] that a live member offers, a near one before one that is little fresher. */
     fun bestOffer(table: String): TableOffer? =
-        members.mapNotNull { offerOf(it, table) }.minByOrNull { it.second }?.first
+        members.mapNotNull { offerOf(it, table) }.minByOrNull { it.ageMilliseconds }
 
     /** Notes that a member did not give what it offered; it is not asked again for a while. */
     fun noteOfferFailed(offer: TableOffer) {
@@ -94,15 +94,15 @@
         members[offer.instance]?.offersFailedUntilMilliseconds = until
     }
 
-    /** The member's offer of [table], and its age with what a far member has to be fresher. */
-    private fun offerOf(entry: Map.Entry<InstanceId, Member>, table: String): Pair<TableOffer, Long>? {
+    /** The member's offer of [table]; that of a far member counts as older than it is. */
+    private fun offerOf(entry: Map.Entry<InstanceId, Member>, table: String): TableOffer? {
         val (instance, member) = entry
         val now = clock.nowMilliseconds()
         if (!isLive(member) || now < member.offersFailedUntilMilliseconds) return null
         val offered = member.digest?.tables?.find { it.table == table } ?: return null
         val age = offered.ageMilliseconds + now - member.heardAtMilliseconds
         val penalty = if (isNear(member)) 0 else FAR_OFFER_PENALTY_MILLISECONDS
-        return TableOffer(instance, member.address, age + penalty) to age + penalty
+        return TableOffer(instance, member.address, age + penalty)
     }
 
     /** Takes [digest] and tells whether it is newer than the one known; [address] is where it came from. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
@@ -1,9 +1,6 @@
 package toucanrelay.gateway.selftest
 
 import io.vertx.core.Vertx
-import io.vertx.core.buffer.Buffer
-import io.vertx.core.http.HttpMethod
-import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.delay
@@ -13,14 +10,14 @@
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.gateway.settings.Bounds
 import toucanrelay.gateway.settings.GatewaySettings
-import toucanrelay.platform.standin.ConfigurationStandIn
-import toucanrelay.platform.standin.ModelCallStandIn
+import toucanrelay.platform.standin.CallerStandIn
 import toucanrelay.platform.standin.StoreStandIn
 import toucanrelay.platform.standin.TargetScript
 import toucanrelay.platform.standin.TargetStandIn
 import toucanrelay.platform.standin.configurationDocument
 import java.net.ServerSocket
 import java.nio.file.Path
+import java.util.UUID
 
 /**
  * Runs a gateway against stand-ins on the loopback and serves one call and one stream.
@@ -36,7 +33,7 @@
     private val mayGoOn: () -> Boolean = { true },
 ) {
     private val vertx = Vertx.vertx()
-    private val client = vertx.createHttpClient()
+    private val caller = CallerStandIn(vertx.createHttpClient())
     private var gateway: Gateway? = null
     private val store = StoreStandIn(vertx)
     private val target = TargetStandIn(vertx, "target-1")
@@ -88,22 +85,8 @@
     }
 
     private suspend fun send(port: Int, path: String): String {
-        val options =
-            RequestOptions()
-                .setMethod(HttpMethod.POST)
-                .setHost(LOOPBACK)
-                .setPort(port)
-                .setURI(path + "x")
-        // Everything is composed on the event loop: a body that comes before somebody asks for it is lost.
-        return client
-            .request(options)
-            .compose { request ->
-                request.putHeader("Host", ConfigurationStandIn.HOST)
-                ModelCallStandIn.write(request.headers(), KEY)
-                request
-                    .send(Buffer.buffer("body"))
-                    .compose { response -> response.body().map { body -> "${response.statusCode()} $body" } }
-            }.coAwait()
+        val answer = caller.post(port, path + "x", KEY, id = UUID.randomUUID().toString()).coAwait()
+        return "${answer.status} ${answer.body}"
     }
 
     private fun configuration() =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
@@ -56,11 +56,11 @@
 
     /** The port at which other members ask for copies of the store's tables. */
     public val tablePort: Int
-        get() = memberPorts.first() + 2
+        get() = memberPorts.first() + TABLE_PORT_OFFSET
 
     /** The port at which metrics are served. */
     public val metricsPort: Int
-        get() = memberPorts.first() + 1
+        get() = memberPorts.first() + METRICS_PORT_OFFSET
 
     /** The region of [failureDomain]; null when the settings do not name it. */
     public fun regionOf(failureDomain: FailureDomainId): RegionId? = regions[failureDomain.value]?.let { RegionId(it) }
@@ -70,6 +70,11 @@
         get() = regionOf(FailureDomainId(failureDomain))
 
     public companion object {
+        private const val METRICS_PORT_OFFSET = 1
+
+        /** Distance of the port for copies of tables from the one for digests, on every instance the same. */
+        internal const val TABLE_PORT_OFFSET = 2
+
         /** Splits `host:port`; null when [text] is something else. */
         public fun addressOf(text: String): TargetAddress? {
             val port = text.substringAfterLast(':', "").toIntOrNull() ?: return null
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/SettingsLoader.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/SettingsLoader.kt
@@ -57,7 +57,7 @@
                 Err(SettingsProblem("memberPorts: allowed is [first, last]"))
             }
 
-            settings.memberPorts[1] - settings.memberPorts[0] < LEAST_PORT_DISTANCE -> {
+            settings.memberPorts[1] - settings.memberPorts[0] < GatewaySettings.TABLE_PORT_OFFSET -> {
                 Err(
                     SettingsProblem("memberPorts: three ports are needed"),
                 )
@@ -74,7 +74,4 @@
             }
         }
     }
-
-    /** Digests, metrics and copies of tables have a port each. */
-    private const val LEAST_PORT_DISTANCE = 2
 }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -1,13 +1,9 @@
 package toucanrelay.gateway
 
-import io.vertx.core.Future
 import io.vertx.core.Vertx
-import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
-import io.vertx.core.http.HttpClientResponse
 import io.vertx.core.http.HttpMethod
-import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
@@ -15,8 +11,8 @@
 import toucanrelay.core.time.MonotonicClock
 import toucanrelay.gateway.settings.Bounds
 import toucanrelay.gateway.settings.GatewaySettings
-import toucanrelay.platform.standin.ConfigurationStandIn
-import toucanrelay.platform.standin.ModelCallStandIn
+import toucanrelay.platform.standin.CallerStandIn
+import toucanrelay.platform.standin.SeenAnswer
 import toucanrelay.platform.standin.StoreStandIn
 import toucanrelay.platform.standin.TargetStandIn
 import toucanrelay.platform.standin.configurationDocument
@@ -28,13 +24,6 @@
 internal const val KEY = "key-1"
 internal const val LIMIT_MILLISECONDS = 20_000L
 
-/** An answer as a caller sees it. */
-internal class SeenAnswer(
-    val status: Int,
-    val headers: Map<String, String>,
-    val body: String,
-)
-
 /** A gateway between a stand-in of the store and stand-ins of targets, on free ports of the loopback. */
 internal class GatewayFixture {
     val vertx: Vertx = Vertx.vertx()
@@ -42,6 +31,7 @@
     val targets = listOf(TargetStandIn(vertx, "target-1"), TargetStandIn(vertx, "target-2"))
     private val gatewayVertx = Vertx.vertx(Gateway.singleEventLoop())
     private val client: HttpClient = vertx.createHttpClient(HttpClientOptions().setKeepAlive(false))
+    private val caller = CallerStandIn(client)
     private val port = freePort()
     private val readinessPort = freePort()
     lateinit var gateway: Gateway
@@ -88,28 +78,7 @@
         key: String? = KEY,
         id: String = "id-${System.nanoTime()}",
         body: String = "body",
-    ): SeenAnswer =
-        withTimeout(LIMIT_MILLISECONDS) {
-            val options =
-                RequestOptions()
-                    .setMethod(HttpMethod.POST)
-                    .setHost(LOOPBACK)
-                    .setPort(port)
-                    .setURI(path)
-            // Everything is composed on the event loop: a body that comes before somebody asks for it is lost.
-            client
-                .request(options)
-                .compose { request ->
-                    request.putHeader("Host", ConfigurationStandIn.HOST)
-                    ModelCallStandIn.write(request.headers(), key, id = id)
-                    request.send(Buffer.buffer(body)).compose { seen(it) }
-                }.coAwait()
-        }
-
-    private fun seen(response: HttpClientResponse): Future<SeenAnswer> {
-        val headers = response.headers().associate { (name, value) -> name.lowercase() to value }
-        return response.body().map { SeenAnswer(response.statusCode(), headers, it.toString()) }
-    }
+    ): SeenAnswer = withTimeout(LIMIT_MILLISECONDS) { caller.post(port, path, key, id, body).coAwait() }
 
     /** Whether the answer broke off so that the caller sees it. */
     suspend fun breaksOff(path: String): Boolean = runCatching { send(path) }.isFailure
--- a/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableFollowerTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableFollowerTest.kt
@@ -23,6 +23,7 @@
 import toucanrelay.gateway.member.FleetView
 import toucanrelay.gateway.member.MemberDigest
 import toucanrelay.gateway.member.TableAgeEntry
+import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.platform.StoreError
 import toucanrelay.platform.StoreRow
 import toucanrelay.platform.StoreRows
@@ -83,7 +84,7 @@
                 val fleet = FleetView(InstanceId("self"), null, clock) { null }
                 if (memberPort != null) {
                     val tables = listOf(TableAgeEntry("recorded", 0))
-                    val port = memberPort - TableFollower.TABLE_PORT_OFFSET
+                    val port = memberPort - GatewaySettings.TABLE_PORT_OFFSET
                     fleet.note(MemberDigest("member", 1, 1, tables = tables), TargetAddress(LOOPBACK, port))
                     serveMember(vertx, memberPort, memberConfirmedAt)
                 }
--- a/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
@@ -1,12 +1,9 @@
 package toucanrelay.soak
 
 import io.vertx.core.Vertx
-import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientOptions
-import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.PoolOptions
-import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -19,8 +16,7 @@
 import toucanrelay.core.time.MonotonicClock
 import toucanrelay.gateway.settings.Bounds
 import toucanrelay.gateway.settings.GatewaySettings
-import toucanrelay.platform.standin.ConfigurationStandIn
-import toucanrelay.platform.standin.ModelCallStandIn
+import toucanrelay.platform.standin.CallerStandIn
 import toucanrelay.platform.standin.ReceivedRequest
 import toucanrelay.platform.standin.StoreBehaviour
 import toucanrelay.platform.standin.StoreStandIn
@@ -50,8 +46,13 @@
     private val vertx = Vertx.vertx()
     private val store = StoreStandIn(vertx)
     private val targets = List(FaultPlan.GATEWAYS) { TargetStandIn(vertx, "target-$it") }
-    private val client =
-        vertx.createHttpClient(HttpClientOptions().setKeepAlive(true), PoolOptions().setHttp1MaxSize(CALLERS * 2))
+    private val caller =
+        CallerStandIn(
+            vertx.createHttpClient(
+                HttpClientOptions().setKeepAlive(true),
+                PoolOptions().setHttp1MaxSize(CALLERS * 2),
+            ),
+        )
     private val ledger = Ledger()
     private val ports = List(FaultPlan.GATEWAYS) { freePorts() }
     private lateinit var storeLinks: List<CuttableLink>
@@ -194,40 +195,21 @@
         gateway: Int,
     ): Int? {
         val sentAt = clock.nowMilliseconds()
-        val answer = withTimeoutOrNull(CALL_LIMIT_MILLISECONDS) { send(id, kind, key, gateway) }
-        ledger.noteCall(SeenCall(id, kind, key, sentAt, answer?.first, answer?.second))
-        return answer?.first
-    }
-
-    /** Status and whole body; null when the connection ended before the answer was whole. */
-    private suspend fun send(
-        id: String,
-        kind: CallKind,
-        key: String,
-        gateway: Int,
-    ): Pair<Int, String>? {
-        val options =
-            RequestOptions()
-                .setMethod(HttpMethod.POST)
-                .setHost(LOOPBACK)
-                .setPort(ports[gateway].first())
-                .setURI(kind.path)
-        return runCatching {
-            client
-                .request(options)
-                .compose { request ->
-                    request.putHeader("Host", ConfigurationStandIn.HOST)
-                    ModelCallStandIn.write(
-                        request.headers(),
+        // An answer that is not whole is a failure, which the ledger takes as none.
+        val answer =
+            withTimeoutOrNull(CALL_LIMIT_MILLISECONDS) {
+                val sent =
+                    caller.post(
+                        ports[gateway].first(),
+                        kind.path,
                         key,
+                        id,
                         deadlineMilliseconds = DEADLINE_MILLISECONDS,
-                        id = id,
                     )
-                    request.send(Buffer.buffer("body")).compose { response ->
-                        response.body().map { response.statusCode() to it.toString() }
-                    }
-                }.coAwait()
-        }.getOrNull()
+                runCatching { sent.coAwait() }.getOrNull()
+            }
+        ledger.noteCall(SeenCall(id, kind, key, sentAt, answer?.status, answer?.body))
+        return answer?.status
     }
 
     private fun answer(request: HttpServerRequest, got: ReceivedRequest, helper: TargetStandIn) {
