Log and export how the engines' throughput is divided

A line each second while the throughput does not cover the demands, and gauges, now give the configured, demanded and served rates, the level and the five largest organisations. No decision changes.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -59,6 +59,7 @@
             schedulePeriodic(LoopLag.PERIOD_MILLISECONDS) { components.loopLag.recordTick() }
             schedulePeriodic(MEMBER_EXPIRY_PERIOD_MILLISECONDS) { components.fleet.expireSilent() }
             schedulePeriodic(SILENCE_CHECK_PERIOD_MILLISECONDS) { components.silenceDetector.abandonSilent() }
+            schedulePeriodic(FAIR_SHARES_LOG_PERIOD_MILLISECONDS) { components.logFairShares() }
             schedulePeriodic(POOL_CLEANUP_PERIOD_MILLISECONDS) { components.pool.cleanUp() }
             schedulePeriodic(SETTINGS_CHECK_PERIOD_MILLISECONDS) { reloadIfChanged() }
         }
@@ -143,6 +144,7 @@
         private const val SILENCE_CHECK_PERIOD_MILLISECONDS = 250L
         private const val SETTINGS_CHECK_PERIOD_MILLISECONDS = 2_000L
         private const val POOL_CLEANUP_PERIOD_MILLISECONDS = 1_000L
+        private const val FAIR_SHARES_LOG_PERIOD_MILLISECONDS = 1_000L
         private const val DIGEST_APPLY_PERIOD_MILLISECONDS = 40L
         private const val MEMBER_EXPIRY_PERIOD_MILLISECONDS = 5_000L
         private const val STOP_CHECK_MILLISECONDS = 50L
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -52,7 +52,7 @@
     val silenceDetector = SilenceDetector(clock) { loopLag.milliseconds }
     val store = StoreClient(vertx, addressOf(settings.storeAddress))
 
-    private val fairShares = FairShares(clock, organisationUsage, fleet)
+    val fairShares = FairShares(clock, organisationUsage, fleet)
     private val placer = Placer(settings, clock, pool, fleet, fairShares, recentReads)
     private val outputEstimates = OutputEstimates()
     private val intake = RequestIntake(clock, configurations, outputEstimates, ::maxAgeMilliseconds)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
@@ -8,6 +8,10 @@
     meters.gauge("toucanrelay_active_requests") { server.active }
     meters.gauge("toucanrelay_waiting_requests") { admission.waiting }
     meters.gauge("toucanrelay_loop_lag_milliseconds") { loopLag.milliseconds }
+    meters.gauge("toucanrelay_fair_level_tokens_per_second") { fairShares.summary().levelPerSecond }
+    meters.gauge("toucanrelay_demanded_tokens_per_second") { fairShares.summary().demandedPerSecond }
+    meters.gauge("toucanrelay_served_tokens_per_second") { fairShares.summary().servedPerSecond }
+    meters.gauge("toucanrelay_configured_tokens_per_second") { fairShares.summary().configuredPerSecond }
     meters.gauge("toucanrelay_members") { fleet.size }
     meters.gauge("toucanrelay_reader_rank") { fleet.readerRank() }
     meters.gauge("toucanrelay_configuration_version") { configurations.current?.version }
@@ -21,3 +25,19 @@
         }
     }
 }
+
+/** Logs how the engines' throughput is divided while it does not cover all demands. */
+internal fun GatewayComponents.logFairShares() {
+    val summary = fairShares.summary()
+    if (summary.levelPerSecond.isInfinite()) return
+    log.write(
+        "fair-shares",
+        "configured" to summary.configuredPerSecond?.toLong(),
+        "demanded" to summary.demandedPerSecond.toLong(),
+        "served" to summary.servedPerSecond.toLong(),
+        "level" to summary.levelPerSecond.toLong(),
+        "largest" to summary.largest.joinToString(),
+        "waiting" to admission.waiting,
+        "loopLagMs" to loopLag.milliseconds,
+    )
+}
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
@@ -15,6 +15,7 @@
 ) {
     private var usage: Map<OrganisationId, UsageRate> = emptyMap()
     private var level = Double.POSITIVE_INFINITY
+    private var configuredPerSecond: Double? = null
     private var refreshedAtMilliseconds = Long.MIN_VALUE / 2
 
     /** Returns the served rate of [organisation] in charged tokens per second, as of the last refresh. */
@@ -30,6 +31,20 @@
         return level
     }
 
+    /** Describes the state of the last refresh. */
+    fun summary(): FairShareSummary =
+        FairShareSummary(
+            configuredPerSecond = configuredPerSecond,
+            demandedPerSecond = usage.values.sumOf { it.demanded },
+            servedPerSecond = usage.values.sumOf { it.served },
+            levelPerSecond = level,
+            largest =
+                usage.entries
+                    .sortedByDescending { it.value.demanded }
+                    .take(LARGEST_IN_SUMMARY)
+                    .map { OrganisationShare(it.key, it.value) },
+        )
+
     private fun refresh(capacityPerSecond: Double?) {
         val now = clock.nowMilliseconds()
         if (now - refreshedAtMilliseconds < REFRESH_MILLISECONDS) return
@@ -37,6 +52,7 @@
         val merged = HashMap(ownUsage.snapshot())
         fleet.usage().forEach { (organisation, rate) -> merged.merge(organisation, rate, UsageRate::plus) }
         usage = merged
+        configuredPerSecond = capacityPerSecond
         val demands = merged.values.map { it.demanded }
         level =
             if (capacityPerSecond == null) Double.POSITIVE_INFINITY else MaxMinShare.level(demands, capacityPerSecond)
@@ -44,5 +60,6 @@
 
     private companion object {
         const val REFRESH_MILLISECONDS = 100L
+        const val LARGEST_IN_SUMMARY = 5
     }
 }
