--- /dev/null
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
@@ -0,0 +1,156 @@
+package toucanrelay.gateway.dispatch
+
+import toucanrelay.core.identity.FailureDomainId
+import toucanrelay.core.identity.InstanceId
+import toucanrelay.core.identity.RegionId
+import toucanrelay.core.identity.TargetId
+import toucanrelay.core.overload.AdmissionLatencyLimit
+import toucanrelay.core.overload.OrganisationUsage
+import toucanrelay.core.overload.RequestHistory
+import toucanrelay.core.placement.Candidate
+import toucanrelay.core.placement.Distance
+import toucanrelay.core.placement.EngineSpeed
+import toucanrelay.core.placement.Placement
+import toucanrelay.core.placement.PlacementPolicy
+import toucanrelay.core.placement.PromptProfile
+import toucanrelay.core.placement.TargetLoad
+import toucanrelay.core.target.TargetAddress
+import toucanrelay.core.time.Clock
+import toucanrelay.gateway.member.FleetView
+import toucanrelay.gateway.member.MemberDigest
+import toucanrelay.gateway.member.TargetLoadEntry
+import toucanrelay.gateway.member.UsageEntry
+
+/** A request in a [FleetSimulation]; [refuse] tells its caller. */
+internal class SimulatedRequest(
+    val load: CallerLoad,
+    val prompt: PromptProfile,
+    val arrivedAtMilliseconds: Long,
+    val isRetry: Boolean,
+    val refuse: () -> Unit,
+)
+
+/** A gateway that decides with the product's classes and has no sockets. */
+internal class SimulatedGateway(
+    private val name: String,
+    val region: Int,
+    regions: List<RegionId>,
+    private val clock: Clock,
+    private val configuredPerSecond: Double,
+    private val onStart: (SimulatedRequest) -> Unit,
+) {
+    private val usage = OrganisationUsage(clock)
+    private val fleet = FleetView(InstanceId(name), regions[region], clock) { RegionId(it.value) }
+    private val shares = FairShares(clock, usage, fleet)
+    private val domain = FailureDomainId(regions[region].value)
+    private val speed = EngineSpeed(INITIAL_TOKENS_PER_MILLISECOND)
+    private val ownLoads = HashMap<TargetId, TargetLoad>()
+    private val waiting = mutableListOf<SimulatedRequest>()
+
+    /** Takes a request from a caller; it is placed or refused later. */
+    fun accept(request: SimulatedRequest) {
+        usage.recordDemand(request.load.organisation, request.prompt.chargedTokens)
+        waiting += request
+    }
+
+    /** Places the waiting requests that [engines] can accept, and refuses those that have waited too long. */
+    fun placeWaiting(engines: List<SimulatedEngine>) {
+        val order =
+            compareBy<SimulatedRequest> { shares.servedPerSecond(it.load.organisation) }
+                .thenBy { !it.isRetry }
+                .thenBy { it.arrivedAtMilliseconds }
+        waiting.sortedWith(order).forEach { request ->
+            val placement = place(request, engines)
+            if (placement != null) send(request, placement, engines.first { it.id == placement.target })
+            if (placement != null || hasWaitedTooLong(request)) waiting.remove(request)
+            if (placement == null && hasWaitedTooLong(request)) request.refuse()
+        }
+    }
+
+    /** Returns the digest number [sequence] with this gateway's loads and usage. */
+    fun digest(sequence: Long): MemberDigest =
+        MemberDigest(
+            instance = name,
+            incarnation = 1,
+            sequence = sequence,
+            loads =
+                ownLoads.map { (target, load) ->
+                    TargetLoadEntry(target.value, load.requests, load.unreadTokens, load.memoryTokens, 0)
+                },
+            usage =
+                usage.snapshot().map { (organisation, rate) ->
+                    UsageEntry(organisation.value, rate.demanded.toInt(), rate.served.toInt())
+                },
+            failureDomain = domain.value,
+        )
+
+    /** Records the digest of another gateway. */
+    fun receive(digest: MemberDigest) {
+        fleet.recordDigest(digest, ADDRESS)
+    }
+
+    private fun place(request: SimulatedRequest, engines: List<SimulatedEngine>): Placement? {
+        val others = fleet.loads()
+        val candidates =
+            engines.filter { request.load.regions.isEmpty() || it.region in request.load.regions }.map { engine ->
+                val load = ownLoads[engine.id] ?: TargetLoad.NONE
+                Candidate(
+                    target = engine.id,
+                    distance = if (engine.region == region) Distance.SAME_REGION else Distance.OTHER_REGION,
+                    load = others[engine.id]?.let { load + it.load } ?: load,
+                    readTokensPerSecond = 0.0,
+                    residentTokens = request.prompt.sharedParts.sumOf { it.tokens },
+                    failureRate = 0.0,
+                    slots = SLOTS,
+                    memoryTokens = MEMORY_TOKENS,
+                )
+            }
+        val waited = clock.nowMilliseconds() - request.arrivedAtMilliseconds
+        return PlacementPolicy.placeModelCall(request.prompt, candidates, speed, allowedMilliseconds(request) - waited)
+    }
+
+    private fun allowedMilliseconds(request: SimulatedRequest): Double =
+        AdmissionLatencyLimit.milliseconds(
+            OBJECTIVE_MILLISECONDS,
+            shares.servedPerSecond(request.load.organisation),
+            shares.levelPerSecond(configuredPerSecond),
+            if (request.isRetry) RequestHistory.CALLER_RETRY else RequestHistory.NEW,
+        )
+
+    private fun send(request: SimulatedRequest, placement: Placement, engine: SimulatedEngine) {
+        usage.recordServed(request.load.organisation, request.prompt.chargedTokens)
+        val reading = TargetLoad(1, placement.unreadTokens, placement.unreadTokens)
+        val generating = TargetLoad(1, 0, placement.unreadTokens)
+        change(engine.id, TargetLoad.NONE, reading)
+        engine.submit(
+            placement.unreadTokens,
+            onStart = { onStart(request) },
+            onFirstEvent = { change(engine.id, reading, generating) },
+            onEnd = { change(engine.id, generating, TargetLoad.NONE) },
+        )
+    }
+
+    private fun change(target: TargetId, from: TargetLoad, to: TargetLoad) {
+        val load = ownLoads[target] ?: TargetLoad.NONE
+        ownLoads[target] =
+            TargetLoad(
+                load.requests - from.requests + to.requests,
+                load.unreadTokens - from.unreadTokens + to.unreadTokens,
+                load.memoryTokens - from.memoryTokens + to.memoryTokens,
+            )
+    }
+
+    private fun hasWaitedTooLong(request: SimulatedRequest): Boolean {
+        val fraction = if (request.isRetry) RETRY_WAIT_FRACTION else NEW_WAIT_FRACTION
+        return clock.nowMilliseconds() - request.arrivedAtMilliseconds >= OBJECTIVE_MILLISECONDS * fraction
+    }
+
+    private companion object {
+        val ADDRESS = TargetAddress("127.0.0.1", 1)
+        const val SLOTS = 64
+        const val MEMORY_TOKENS = 1_000_000L
+        const val INITIAL_TOKENS_PER_MILLISECOND = 30.0
+        const val NEW_WAIT_FRACTION = 0.35
+        const val RETRY_WAIT_FRACTION = 0.8
+    }
+}
