Divide what the engines really serve, not the configured throughput

Cause: the max-min level was worked out from the configured throughput. All large organisations were at twice the level or more, where the latency limit had one lowest value, and who asked at more gateways took more. Where the pool gives less than configured, the level is too high and limits nobody.

Change: the level divides the rates that the fleet really serves, by region, from the gateways' digests; organisations or routes that may use few regions get the level of these. The limit keeps falling above the share, and that of a retry approaches that of a new request steadily. Where nothing is served yet nobody is limited.

--- a/core/src/main/kotlin/toucanrelay/core/overload/AdmissionLatencyLimit.kt
+++ b/core/src/main/kotlin/toucanrelay/core/overload/AdmissionLatencyLimit.kt
@@ -1,5 +1,7 @@
 package toucanrelay.core.overload
 
+import kotlin.math.pow
+
 /**
  * Computes the highest expected time to the first event with which a request is admitted.
  *
@@ -12,7 +14,8 @@
      *
      * @param objectiveMilliseconds the route's latency objective.
      * @param servedPerSecond tokens per second that the fleet currently serves to the organisation.
-     * @param levelPerSecond max-min fair level of the demands of all organisations, in tokens per second.
+     * @param levelPerSecond max-min fair level of the demands of all organisations, in tokens per second; 0 while
+     *   nothing is served yet, which limits nobody.
      * @param history earlier attempts at the request.
      */
     public fun milliseconds(
@@ -21,11 +24,11 @@
         levelPerSecond: Double,
         history: RequestHistory,
     ): Double {
-        val usedShare = servedPerSecond / levelPerSecond
+        val usedShare = if (levelPerSecond > 0) servedPerSecond / levelPerSecond else 0.0
         val factor =
             when (history) {
                 RequestHistory.NEW -> factorFor(usedShare)
-                RequestHistory.CALLER_RETRY -> if (usedShare < 1) CALLER_RETRY_FACTOR else factorFor(usedShare)
+                RequestHistory.CALLER_RETRY -> callerRetryFactorFor(usedShare)
                 RequestHistory.INTERRUPTED -> INTERRUPTED_FACTOR
             }
         return objectiveMilliseconds * factor
@@ -35,21 +38,25 @@
      * Returns the factor for an organisation that uses [usedShare] of its fair share.
      *
      * It keeps falling above the share, so that of two organisations above their share the one that received less is
-     * preferred.
+     * preferred, however far above it they are.
      */
     private fun factorFor(usedShare: Double): Double {
+        if (usedShare > 1) return FACTOR_AT_SHARE / usedShare.pow(DECLINE_ABOVE_SHARE)
         val belowShare = ((usedShare - MAX_FACTOR_UP_TO_SHARE) / (1 - MAX_FACTOR_UP_TO_SHARE)).coerceIn(0.0, 1.0)
-        val aboveShare = ((usedShare - 1) / (MIN_FACTOR_FROM_SHARE - 1)).coerceIn(0.0, 1.0)
-        return MAX_FACTOR -
-            belowShare * (MAX_FACTOR - FACTOR_AT_SHARE) -
-            aboveShare * (FACTOR_AT_SHARE - MIN_FACTOR)
+        return MAX_FACTOR - belowShare * (MAX_FACTOR - FACTOR_AT_SHARE)
+    }
+
+    /** Returns the factor for a retry; it approaches the one for a new request as the share is used up. */
+    private fun callerRetryFactorFor(usedShare: Double): Double {
+        val advantage = 1 + CALLER_RETRY_ADVANTAGE * (1 - usedShare).coerceAtLeast(0.0)
+        return minOf(MAX_CALLER_RETRY_FACTOR, factorFor(usedShare) * advantage)
     }
 
     private const val MAX_FACTOR_UP_TO_SHARE = 0.3
-    private const val MIN_FACTOR_FROM_SHARE = 2.0
     private const val MAX_FACTOR = 0.9
     private const val FACTOR_AT_SHARE = 0.4
-    private const val MIN_FACTOR = 0.05
-    private const val CALLER_RETRY_FACTOR = 1.2
+    private const val DECLINE_ABOVE_SHARE = 3
+    private const val CALLER_RETRY_ADVANTAGE = 0.8
+    private const val MAX_CALLER_RETRY_FACTOR = 1.2
     private const val INTERRUPTED_FACTOR = 2.0
 }
--- a/core/src/main/kotlin/toucanrelay/core/overload/OrganisationUsage.kt
+++ b/core/src/main/kotlin/toucanrelay/core/overload/OrganisationUsage.kt
@@ -1,6 +1,6 @@
 package toucanrelay.core.overload
 
-import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.identity.RegionId
 import toucanrelay.core.statistics.DecayingRate
 import toucanrelay.core.time.Clock
 
@@ -23,7 +23,7 @@
     }
 }
 
-/** Measures the demanded and served rates of each organisation at this instance. */
+/** Measures the demanded and served rates of each organisation, and the served rate of each region, at this instance. */
 public class OrganisationUsage(
     private val clock: Clock,
 ) {
@@ -34,25 +34,32 @@
         val served = DecayingRate(clock, TIME_CONSTANT_MILLISECONDS)
     }
 
-    private val rates = HashMap<OrganisationId, Rates>()
+    private val rates = HashMap<UsageKey, Rates>()
+    private val servedByRegion = HashMap<RegionId?, DecayingRate>()
 
-    /** Records a request of [organisation] for [chargedTokens]. */
-    public fun recordDemand(organisation: OrganisationId, chargedTokens: Long) {
-        ratesOf(organisation).demanded.add(chargedTokens.toDouble())
+    /** Records a request of [key] for [chargedTokens]. */
+    public fun recordDemand(key: UsageKey, chargedTokens: Long) {
+        ratesOf(key).demanded.add(chargedTokens.toDouble())
     }
 
-    /** Records that a request of [organisation] for [chargedTokens] was sent to a target. */
-    public fun recordServed(organisation: OrganisationId, chargedTokens: Long) {
-        ratesOf(organisation).served.add(chargedTokens.toDouble())
+    /** Records that a request of [key] for [chargedTokens] was sent to a target in [region]; null if it is unknown. */
+    public fun recordServed(key: UsageKey, chargedTokens: Long, region: RegionId? = null) {
+        ratesOf(key).served.add(chargedTokens.toDouble())
+        servedByRegion
+            .getOrPut(region) { DecayingRate(clock, TIME_CONSTANT_MILLISECONDS) }
+            .add(chargedTokens.toDouble())
     }
 
     /** Returns the rates of all organisations with recent demand. */
-    public fun snapshot(): Map<OrganisationId, UsageRate> =
+    public fun snapshot(): Map<UsageKey, UsageRate> =
         rates
             .mapValues { (_, rates) -> UsageRate(rates.demanded.perSecond, rates.served.perSecond) }
             .filterValues { it.demanded >= MIN_TOKENS_PER_SECOND }
 
-    private fun ratesOf(organisation: OrganisationId) = rates.getOrPut(organisation) { Rates(clock) }
+    /** Returns the tokens per second sent to the targets of each region. */
+    public fun servedByRegion(): Map<RegionId?, Double> = servedByRegion.mapValues { (_, rate) -> rate.perSecond }
+
+    private fun ratesOf(key: UsageKey) = rates.getOrPut(key) { Rates(clock) }
 
     private companion object {
         const val TIME_CONSTANT_MILLISECONDS = 1_500L
--- a/core/src/test/kotlin/toucanrelay/core/overload/AdmissionLatencyLimitTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/overload/AdmissionLatencyLimitTest.kt
@@ -1,8 +1,10 @@
 package toucanrelay.core.overload
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.doubles.plusOrMinus
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 
 class AdmissionLatencyLimitTest :
@@ -21,6 +23,22 @@
                 limit(180.0) shouldBeLessThan limit(120.0)
             }
 
+            it("tells organisations apart however far they are above their share") {
+                limit(800.0) shouldBeLessThan limit(400.0)
+                limit(400.0) shouldBeLessThan limit(200.0)
+            }
+
+            it("falls steadily for a retry as the share is used up") {
+                val limits = (0..20).map { limit(it * 10.0, RequestHistory.CALLER_RETRY) }
+                limits.zipWithNext().forEach { (before, after) -> after shouldBeLessThanOrEqual before }
+                limit(99.0, RequestHistory.CALLER_RETRY) shouldBe
+                    (limit(101.0, RequestHistory.CALLER_RETRY) plusOrMinus 40.0)
+            }
+
+            it("has its full value for every organisation while nothing is served yet") {
+                limit(0.0, level = 0.0) shouldBe limit(0.0)
+            }
+
             it("has its full value for every organisation while the capacity covers all demands") {
                 limit(1_000.0, level = Double.POSITIVE_INFINITY) shouldBe limit(0.0)
             }
--- a/core/src/test/kotlin/toucanrelay/core/overload/AdmissionSimulationTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/overload/AdmissionSimulationTest.kt
@@ -40,7 +40,7 @@
         get() = idleMilliseconds / 10_000.0
 
     private fun offer(name: String) {
-        val organisation = OrganisationId(name)
+        val organisation = UsageKey(OrganisationId(name))
         offered.merge(name, 1, Int::plus)
         usage.recordDemand(organisation, REQUEST_TOKENS)
         val expected = (backlogTokens + REQUEST_TOKENS) / ENGINE_TOKENS_PER_MILLISECOND
@@ -50,7 +50,7 @@
         backlogTokens += REQUEST_TOKENS
     }
 
-    private fun limitMilliseconds(organisation: OrganisationId): Double {
+    private fun limitMilliseconds(organisation: UsageKey): Double {
         val rates = usage.snapshot()
         val capacity = ENGINE_TOKENS_PER_MILLISECOND * 1_000.0
         val level = if (isFair) MaxMinShare.level(rates.values.map { it.demanded }, capacity) else Double.MAX_VALUE
--- a/core/src/test/kotlin/toucanrelay/core/overload/MaxMinShareTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/overload/MaxMinShareTest.kt
@@ -8,6 +8,8 @@
 import io.kotest.property.arbitrary.list
 import io.kotest.property.arbitrary.numericDouble
 import io.kotest.property.checkAll
+import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.identity.RegionId
 
 class MaxMinShareTest :
     DescribeSpec({
@@ -30,4 +32,40 @@
                 }
             }
         }
+
+        describe("the levels of organisations that depend on different regions") {
+            val near = RegionId("near")
+            val far = RegionId("far")
+
+            fun demand(name: String, region: RegionId? = null) = UsageKey(OrganisationId(name), setOfNotNull(region))
+
+            it("are one level where the regions that some depend on are not scarcer for them") {
+                val demands = mapOf(demand("free") to 100.0, demand("home", near) to 100.0)
+                val levels = MaxMinShare.levels(demands, mapOf(near to 50.0, far to 10.0))
+                levels shouldBe mapOf(emptySet<RegionId>() to 30.0, setOf(near) to 30.0)
+            }
+
+            it("are lower for those that depend on a scarce region, which leaves the rest to the others") {
+                val demands =
+                    mapOf(demand("free") to 100.0, demand("home-a", near) to 100.0, demand("home-b", near) to 100.0)
+                val levels = MaxMinShare.levels(demands, mapOf(near to 20.0, far to 60.0))
+                levels shouldBe mapOf(setOf(near) to 10.0, emptySet<RegionId>() to 60.0)
+            }
+
+            it("count an organisation once, whatever the regions of its requests") {
+                val demands =
+                    mapOf(demand("both") to 40.0, demand("both", near) to 40.0, demand("free") to 80.0)
+                MaxMinShare.levels(demands, mapOf(near to 50.0, far to 50.0)).getValue(emptySet()) shouldBe 50.0
+            }
+
+            it("count the capacity of an unknown region for organisations that may use all regions") {
+                MaxMinShare.levels(mapOf(demand("free") to 9.0), mapOf(null to 4.0)).getValue(emptySet()) shouldBe 4.0
+            }
+
+            it("are infinite where the capacities cover the demands") {
+                val demands = mapOf(demand("free") to 5.0, demand("home", near) to 10.0)
+                val levels = MaxMinShare.levels(demands, mapOf(near to 4.0, far to 6.0))
+                levels shouldBe mapOf(setOf(near) to 4.0, emptySet<RegionId>() to Double.POSITIVE_INFINITY)
+            }
+        }
     })
--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -7,6 +7,7 @@
 import toucanrelay.gateway.member.MemberExchange
 import toucanrelay.gateway.member.OthersLoad
 import toucanrelay.gateway.member.PromptReadEntry
+import toucanrelay.gateway.member.RegionServedEntry
 import toucanrelay.gateway.member.TableAgeEntry
 import toucanrelay.gateway.member.TargetLoadEntry
 import toucanrelay.gateway.member.UsageEntry
@@ -58,6 +59,7 @@
                 components.tableCopies.mapNotNull { (table, copy) ->
                     copy.ageMilliseconds?.let { TableAgeEntry(table, it) }
                 },
+            servedByRegion = servedByRegion(),
         )
 
     private fun loads(): List<TargetLoadEntry> =
@@ -67,8 +69,18 @@
             .map { loadOf(it) }
 
     private fun usage(): List<UsageEntry> =
-        components.organisationUsage.snapshot().map { (organisation, rate) ->
-            UsageEntry(organisation.value, rate.demanded.toInt(), rate.served.toInt())
+        components.organisationUsage.snapshot().map { (key, rate) ->
+            UsageEntry(
+                key.organisation.value,
+                rate.demanded.toInt(),
+                rate.served.toInt(),
+                key.regions.map { it.value }.sorted(),
+            )
+        }
+
+    private fun servedByRegion(): List<RegionServedEntry> =
+        components.organisationUsage.servedByRegion().map { (region, served) ->
+            RegionServedEntry(region?.value.orEmpty(), served.toInt())
         }
 
     private fun isReported(target: Target) =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
@@ -11,7 +11,9 @@
     meters.gauge("toucanrelay_fair_level_tokens_per_second") { fairShares.summary().levelPerSecond }
     meters.gauge("toucanrelay_demanded_tokens_per_second") { fairShares.summary().demandedPerSecond }
     meters.gauge("toucanrelay_served_tokens_per_second") { fairShares.summary().servedPerSecond }
-    meters.gauge("toucanrelay_configured_tokens_per_second") { fairShares.summary().configuredPerSecond }
+    meters.gauge("toucanrelay_configured_tokens_per_second") {
+        configurations.current?.limits?.tokensPerSecond
+    }
     meters.gauge("toucanrelay_members") { fleet.size }
     meters.gauge("toucanrelay_reader_rank") { fleet.readerRank() }
     meters.gauge("toucanrelay_configuration_version") { configurations.current?.version }
@@ -32,7 +34,11 @@
     if (summary.levelPerSecond.isInfinite()) return
     log.write(
         "fair-shares",
-        "configured" to summary.configuredPerSecond?.toLong(),
+        "configured" to
+            configurations.current
+                ?.limits
+                ?.tokensPerSecond
+                ?.toLong(),
         "demanded" to summary.demandedPerSecond.toLong(),
         "served" to summary.servedPerSecond.toLong(),
         "level" to summary.levelPerSecond.toLong(),
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShareSummary.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShareSummary.kt
@@ -16,14 +16,12 @@
  *
  * All rates are in charged tokens per second.
  *
- * @property configuredPerSecond configured throughput of the engines; null when there is none.
  * @property demandedPerSecond rate that all organisations demand.
  * @property servedPerSecond rate that all organisations are served.
- * @property levelPerSecond max-min fair level; infinite while all demands are covered.
+ * @property levelPerSecond lowest max-min fair level of any set of regions; infinite while all demands are covered.
  * @property largest the organisations with the highest demands.
  */
 internal class FairShareSummary(
-    val configuredPerSecond: Double?,
     val demandedPerSecond: Double,
     val servedPerSecond: Double,
     val levelPerSecond: Double,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
@@ -1,65 +1,87 @@
 package toucanrelay.gateway.dispatch
 
 import toucanrelay.core.identity.OrganisationId
+import toucanrelay.core.identity.RegionId
 import toucanrelay.core.overload.MaxMinShare
 import toucanrelay.core.overload.OrganisationUsage
+import toucanrelay.core.overload.UsageKey
 import toucanrelay.core.overload.UsageRate
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.member.FleetView
 
-/** Tracks the organisations' rates over the fleet and their max-min fair level; refreshed at most every 100 ms. */
+/**
+ * Tracks the organisations' rates over the fleet and their max-min fair levels; refreshed at most every 100 ms.
+ *
+ * The levels divide what the engines really serve. A configured throughput would not do: engines also serve prompt parts
+ * that they have cached, and targets crash, are slow or leave while it stays the same.
+ */
 internal class FairShares(
     private val clock: Clock,
     private val ownUsage: OrganisationUsage,
     private val fleet: FleetView,
 ) {
     private var usage: Map<OrganisationId, UsageRate> = emptyMap()
-    private var level = Double.POSITIVE_INFINITY
-    private var configuredPerSecond: Double? = null
+    private var levels: Map<Set<RegionId>, Double> = emptyMap()
     private var refreshedAtMilliseconds = Long.MIN_VALUE / 2
 
     /** Returns the served rate of [organisation] in charged tokens per second, as of the last refresh. */
     fun servedPerSecond(organisation: OrganisationId): Double = usage[organisation]?.served ?: 0.0
 
     /**
-     * Returns the max-min fair level of all demands, in charged tokens per second.
+     * Returns the max-min fair level of the organisations whose requests [regions] may serve, in charged tokens per second.
      *
-     * It is infinite if [capacityPerSecond] covers the demands or is null.
+     * It is infinite while the demands are covered.
+     *
+     * @param regions empty for all regions.
      */
-    fun levelPerSecond(capacityPerSecond: Double?): Double {
-        refresh(capacityPerSecond)
-        return level
+    fun levelPerSecond(regions: Set<RegionId>): Double {
+        refresh()
+        return levels[regions] ?: Double.POSITIVE_INFINITY
     }
 
-    /** Describes the state of the last refresh. */
-    fun summary(): FairShareSummary =
-        FairShareSummary(
-            configuredPerSecond = configuredPerSecond,
+    /** Describes the present rates and levels. */
+    fun summary(): FairShareSummary {
+        refresh()
+        return FairShareSummary(
             demandedPerSecond = usage.values.sumOf { it.demanded },
             servedPerSecond = usage.values.sumOf { it.served },
-            levelPerSecond = level,
+            levelPerSecond = levels.values.minOrNull() ?: Double.POSITIVE_INFINITY,
             largest =
                 usage.entries
                     .sortedByDescending { it.value.demanded }
                     .take(LARGEST_IN_SUMMARY)
                     .map { OrganisationShare(it.key, it.value) },
         )
+    }
 
-    private fun refresh(capacityPerSecond: Double?) {
+    private fun refresh() {
         val now = clock.nowMilliseconds()
         if (now - refreshedAtMilliseconds < REFRESH_MILLISECONDS) return
         refreshedAtMilliseconds = now
-        val merged = HashMap(ownUsage.snapshot())
-        fleet.usage().forEach { (organisation, rate) -> merged.merge(organisation, rate, UsageRate::plus) }
-        usage = merged
-        configuredPerSecond = capacityPerSecond
-        val demands = merged.values.map { it.demanded }
-        level =
-            if (capacityPerSecond == null) Double.POSITIVE_INFINITY else MaxMinShare.level(demands, capacityPerSecond)
+        val byKey = HashMap(ownUsage.snapshot())
+        fleet.usage().forEach { (key, rate) -> byKey.merge(key, rate, UsageRate::plus) }
+        usage = sumByOrganisation(byKey)
+        levels = MaxMinShare.levels(byKey.mapValues { it.value.demanded }, capacities())
+    }
+
+    private fun sumByOrganisation(byKey: Map<UsageKey, UsageRate>): Map<OrganisationId, UsageRate> {
+        val sums = HashMap<OrganisationId, UsageRate>()
+        byKey.forEach { (key, rate) -> sums.merge(key.organisation, rate, UsageRate::plus) }
+        return sums
+    }
+
+    /** Returns what the engines of each region can serve: slightly more than they do. */
+    private fun capacities(): Map<RegionId?, Double> {
+        val served = HashMap(ownUsage.servedByRegion())
+        fleet.servedByRegion().forEach { (region, rate) -> served.merge(region, rate, Double::plus) }
+        return served.mapValues { it.value * CAPACITY_HEADROOM_FACTOR }
     }
 
     private companion object {
         const val REFRESH_MILLISECONDS = 100L
         const val LARGEST_IN_SUMMARY = 5
+
+        /** Requests on their way to a target are demanded and not served yet, which must not look like an overload. */
+        const val CAPACITY_HEADROOM_FACTOR = 1.1
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -113,7 +113,7 @@
         AdmissionLatencyLimit.milliseconds(
             request.route.latencyObjectiveMilliseconds,
             shares.servedPerSecond(request.account),
-            shares.levelPerSecond(request.configuration.limits.tokensPerSecond),
+            shares.levelPerSecond(request.usageKey.regions),
             history,
         )
 
@@ -167,7 +167,7 @@
         request.prompt?.let { recordRead(target, it, placement) }
         target.recentRequests.add()
         val load = TargetLoad(1, placement.unreadTokens, expectedMemoryTokens(request.prompt, placement))
-        return Reservation(serving.registered, target, placement, tokensAhead, load, onRelease)
+        return Reservation(serving.registered, target, placement, regionOf(serving), tokensAhead, load, onRelease)
     }
 
     private fun recordRead(target: Target, prompt: PromptProfile, placement: Placement) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -47,7 +47,7 @@
     /** Runs the request to its final answer. */
     suspend fun run() {
         retryBudget.recordRequest()
-        request.prompt?.let { dependencies.organisationUsage.recordDemand(request.account, it.chargedTokens) }
+        request.prompt?.let { dependencies.organisationUsage.recordDemand(request.usageKey, it.chargedTokens) }
         val remaining =
             request.deadlineAtMilliseconds - dependencies.clock.nowMilliseconds() - ANSWER_MARGIN_MILLISECONDS
         val isDone = withTimeoutOrNull(maxOf(1, remaining)) { attemptUntilAnswered() }
@@ -114,7 +114,9 @@
         progress.unreadTokens = reservation.placement.unreadTokens.takeIf { request.prompt != null }
         if (progress.waitedMilliseconds == null) {
             progress.waitedMilliseconds = dependencies.clock.nowMilliseconds() - request.arrivedAtMilliseconds
-            request.prompt?.let { dependencies.organisationUsage.recordServed(request.account, it.chargedTokens) }
+            request.prompt?.let {
+                dependencies.organisationUsage.recordServed(request.usageKey, it.chargedTokens, reservation.region)
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Reservation.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Reservation.kt
@@ -1,5 +1,6 @@
 package toucanrelay.gateway.dispatch
 
+import toucanrelay.core.identity.RegionId
 import toucanrelay.core.placement.Placement
 import toucanrelay.core.placement.TargetLoad
 import toucanrelay.core.target.RegisteredTarget
@@ -8,12 +9,14 @@
 /**
  * Capacity of a target reserved for one request; counts towards the target's load until it is released.
  *
+ * @property region the target's region; null if it is unknown.
  * @property tokensAhead unread prompt tokens at the target, including those of this request.
  */
 internal class Reservation(
     val registered: RegisteredTarget,
     val target: Target,
     val placement: Placement,
+    val region: RegionId?,
     val tokensAhead: Long,
     private var load: TargetLoad,
     private val onRelease: () -> Unit,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
@@ -9,6 +9,7 @@
 import toucanrelay.core.configuration.ServiceSettings
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.core.identity.RegionId
+import toucanrelay.core.overload.UsageKey
 import toucanrelay.core.placement.PromptProfile
 
 /**
@@ -45,6 +46,10 @@
     val rank: Int
         get() = organisation?.rank ?: route.rank
 
+    /** Identifies the organisation and the regions under which the request's use of the engines is counted. */
+    val usageKey: UsageKey
+        get() = UsageKey(account, allowedRegions())
+
     /** Returns whether a target in [region] may serve the request. */
     fun allows(region: RegionId?): Boolean {
         val routeRegions = route.allowedRegions
@@ -53,6 +58,18 @@
             (organisationRegions.isEmpty() || region in organisationRegions)
     }
 
+    /** Returns the regions whose targets may serve the request; empty for all. */
+    private fun allowedRegions(): Set<RegionId> {
+        val organisationRegions = organisation?.allowedRegions.orEmpty()
+        if (organisationRegions.isEmpty()) return route.allowedRegions
+        return if (route.allowedRegions.isEmpty()) {
+            organisationRegions
+        } else {
+            organisationRegions intersect
+                route.allowedRegions
+        }
+    }
+
     internal companion object {
         /** The account of all requests without an organisation. */
         val ANONYMOUS = OrganisationId("")
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -6,6 +6,7 @@
 import toucanrelay.core.identity.OrganisationId
 import toucanrelay.core.identity.RegionId
 import toucanrelay.core.identity.TargetId
+import toucanrelay.core.overload.UsageKey
 import toucanrelay.core.overload.UsageRate
 import toucanrelay.core.placement.TargetLoad
 import toucanrelay.core.target.TargetAddress
@@ -134,15 +135,23 @@
             .mapValues { (_, entries) -> OthersLoad.sum(entries) }
 
     /** Returns the usage of each organisation at all other live members. */
-    fun usage(): Map<OrganisationId, UsageRate> {
-        val usage = HashMap<OrganisationId, UsageRate>()
+    fun usage(): Map<UsageKey, UsageRate> {
+        val usage = HashMap<UsageKey, UsageRate>()
         liveDigests().flatMap { it.usage }.forEach { entry ->
+            val key = UsageKey(OrganisationId(entry.organisation), entry.regions.mapTo(HashSet()) { RegionId(it) })
             val rate = UsageRate(entry.demanded.toDouble(), entry.served.toDouble())
-            usage.merge(OrganisationId(entry.organisation), rate, UsageRate::plus)
+            usage.merge(key, rate, UsageRate::plus)
         }
         return usage
     }
 
+    /** Returns the tokens per second that the engines of each region serve to all other live members. */
+    fun servedByRegion(): Map<RegionId?, Double> =
+        liveDigests()
+            .flatMap { it.servedByRegion }
+            .groupBy { entry -> entry.region.takeIf { it.isNotEmpty() }?.let { RegionId(it) } }
+            .mapValues { (_, entries) -> entries.sumOf { it.served.toDouble() } }
+
     private fun liveDigests(): List<MemberDigest> = members.values.filter { isLive(it) }.mapNotNull { it.digest }
 
     private fun isLive(member: Member) =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -29,12 +29,28 @@
     @ProtoNumber(2) val parts: List<PromptPartEntry>,
 )
 
-/** Demanded and served rate of an organisation at a member, in charged tokens per second. */
+/**
+ * Demanded and served rate of an organisation at a member, in charged tokens per second.
+ *
+ * @property regions the regions that may serve the requests; empty for all.
+ */
 @Serializable
 internal class UsageEntry(
     @ProtoNumber(1) val organisation: String,
     @ProtoNumber(2) val demanded: Int,
     @ProtoNumber(3) val served: Int,
+    @ProtoNumber(4) val regions: List<String> = emptyList(),
+)
+
+/**
+ * Rate served by the engines of a region to a member, in charged tokens per second.
+ *
+ * @property region empty if the member does not know the region.
+ */
+@Serializable
+internal class RegionServedEntry(
+    @ProtoNumber(1) val region: String,
+    @ProtoNumber(2) val served: Int,
 )
 
 /** Age of a member's copy of a table of the store. */
@@ -63,4 +79,5 @@
     @ProtoNumber(7) val reads: List<PromptReadEntry> = emptyList(),
     @ProtoNumber(8) val failureDomain: String = "",
     @ProtoNumber(9) val tables: List<TableAgeEntry> = emptyList(),
+    @ProtoNumber(10) val servedByRegion: List<RegionServedEntry> = emptyList(),
 )
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/FleetSimulation.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/FleetSimulation.kt
@@ -79,9 +79,9 @@
     private val random = Random(SEED)
     private val regions = listOf(RegionId("region-0"), RegionId("region-1"))
 
-    /** Tokens per second charged to organisations when all engines are busy. */
-    private val chargedCapacityPerSecond =
-        options.engines * options.tokensPerMillisecond * MILLISECONDS_PER_SECOND / (1 - options.cachedFraction)
+    /** The gateways' first estimate of an engine's speed, which comes from the configured throughput. */
+    private val initialTokensPerMillisecond =
+        options.tokensPerMillisecond / (1 - options.cachedFraction) * options.configuredFactor
 
     /** The engines; they are removed and added while the simulation runs. */
     val engines: MutableList<SimulatedEngine> =
@@ -116,7 +116,7 @@
             region,
             regions,
             clock,
-            chargedCapacityPerSecond * options.configuredFactor,
+            initialTokensPerMillisecond,
             ::recordStart,
         )
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
@@ -7,6 +7,7 @@
 import toucanrelay.core.overload.AdmissionLatencyLimit
 import toucanrelay.core.overload.OrganisationUsage
 import toucanrelay.core.overload.RequestHistory
+import toucanrelay.core.overload.UsageKey
 import toucanrelay.core.placement.Candidate
 import toucanrelay.core.placement.Distance
 import toucanrelay.core.placement.EngineSpeed
@@ -18,6 +19,8 @@
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.member.FleetView
 import toucanrelay.gateway.member.MemberDigest
+import toucanrelay.gateway.member.OthersLoad
+import toucanrelay.gateway.member.RegionServedEntry
 import toucanrelay.gateway.member.TargetLoadEntry
 import toucanrelay.gateway.member.UsageEntry
 
@@ -34,22 +37,23 @@
 internal class SimulatedGateway(
     private val name: String,
     val region: Int,
-    regions: List<RegionId>,
+    private val regions: List<RegionId>,
     private val clock: Clock,
-    private val configuredPerSecond: Double,
+    initialTokensPerMillisecond: Double,
     private val onStart: (SimulatedRequest) -> Unit,
 ) {
     private val usage = OrganisationUsage(clock)
     private val fleet = FleetView(InstanceId(name), regions[region], clock) { RegionId(it.value) }
     private val shares = FairShares(clock, usage, fleet)
     private val domain = FailureDomainId(regions[region].value)
-    private val speed = EngineSpeed(INITIAL_TOKENS_PER_MILLISECOND)
+    private val speed = EngineSpeed(initialTokensPerMillisecond)
     private val ownLoads = HashMap<TargetId, TargetLoad>()
+    private var othersLoads: Map<TargetId, OthersLoad> = emptyMap()
     private val waiting = mutableListOf<SimulatedRequest>()
 
     /** Takes a request from a caller; it is placed or refused later. */
     fun accept(request: SimulatedRequest) {
-        usage.recordDemand(request.load.organisation, request.prompt.chargedTokens)
+        usage.recordDemand(keyOf(request), request.prompt.chargedTokens)
         waiting += request
     }
 
@@ -78,26 +82,30 @@
                     TargetLoadEntry(target.value, load.requests, load.unreadTokens, load.memoryTokens, 0)
                 },
             usage =
-                usage.snapshot().map { (organisation, rate) ->
-                    UsageEntry(organisation.value, rate.demanded.toInt(), rate.served.toInt())
+                usage.snapshot().map { (key, rate) ->
+                    val regions = key.regions.map { it.value }
+                    UsageEntry(key.organisation.value, rate.demanded.toInt(), rate.served.toInt(), regions)
                 },
             failureDomain = domain.value,
+            servedByRegion =
+                usage.servedByRegion().map { (region, served) ->
+                    RegionServedEntry(region?.value.orEmpty(), served.toInt())
+                },
         )
 
     /** Records the digest of another gateway. */
     fun receive(digest: MemberDigest) {
         fleet.recordDigest(digest, ADDRESS)
+        othersLoads = fleet.loads()
     }
 
     private fun place(request: SimulatedRequest, engines: List<SimulatedEngine>): Placement? {
-        val others = fleet.loads()
         val candidates =
             engines.filter { request.load.regions.isEmpty() || it.region in request.load.regions }.map { engine ->
-                val load = ownLoads[engine.id] ?: TargetLoad.NONE
                 Candidate(
                     target = engine.id,
                     distance = if (engine.region == region) Distance.SAME_REGION else Distance.OTHER_REGION,
-                    load = others[engine.id]?.let { load + it.load } ?: load,
+                    load = loadOf(engine.id),
                     readTokensPerSecond = 0.0,
                     residentTokens = request.prompt.sharedParts.sumOf { it.tokens },
                     failureRate = 0.0,
@@ -109,23 +117,37 @@
         return PlacementPolicy.placeModelCall(request.prompt, candidates, speed, allowedMilliseconds(request) - waited)
     }
 
+    /** Returns the load of the whole fleet at [target], as far as this gateway knows. */
+    private fun loadOf(target: TargetId): TargetLoad {
+        val own = ownLoads[target] ?: TargetLoad.NONE
+        return othersLoads[target]?.let { own + it.load } ?: own
+    }
+
+    private fun keyOf(request: SimulatedRequest): UsageKey =
+        UsageKey(request.load.organisation, request.load.regions.mapTo(HashSet()) { regions[it] })
+
     private fun allowedMilliseconds(request: SimulatedRequest): Double =
         AdmissionLatencyLimit.milliseconds(
             OBJECTIVE_MILLISECONDS,
             shares.servedPerSecond(request.load.organisation),
-            shares.levelPerSecond(configuredPerSecond),
+            shares.levelPerSecond(keyOf(request).regions),
             if (request.isRetry) RequestHistory.CALLER_RETRY else RequestHistory.NEW,
         )
 
     private fun send(request: SimulatedRequest, placement: Placement, engine: SimulatedEngine) {
-        usage.recordServed(request.load.organisation, request.prompt.chargedTokens)
+        usage.recordServed(keyOf(request), request.prompt.chargedTokens, regions[engine.region])
         val reading = TargetLoad(1, placement.unreadTokens, placement.unreadTokens)
         val generating = TargetLoad(1, 0, placement.unreadTokens)
+        val tokensAhead = loadOf(engine.id).unreadTokens + placement.unreadTokens
+        val sentAtMilliseconds = clock.nowMilliseconds()
         change(engine.id, TargetLoad.NONE, reading)
         engine.submit(
             placement.unreadTokens,
             onStart = { onStart(request) },
-            onFirstEvent = { change(engine.id, reading, generating) },
+            onFirstEvent = {
+                speed.recordFirstEvent(tokensAhead, clock.nowMilliseconds() - sentAtMilliseconds)
+                change(engine.id, reading, generating)
+            },
             onEnd = { change(engine.id, generating, TargetLoad.NONE) },
         )
     }
@@ -149,7 +171,6 @@
         val ADDRESS = TargetAddress("127.0.0.1", 1)
         const val SLOTS = 64
         const val MEMORY_TOKENS = 1_000_000L
-        const val INITIAL_TOKENS_PER_MILLISECOND = 30.0
         const val NEW_WAIT_FRACTION = 0.35
         const val RETRY_WAIT_FRACTION = 0.8
     }
