Acquire a lease after an acquiring write without an answer and without effect

Cause: a lost answer marks the observed row as outdated, and a read replaced the observation only when the version had changed. A read of the same version now makes it current again and keeps the time of its first read, from which another holder's lease is counted. Both new tests of LeaseStateMachineTest read for ever before.

--- a/core/src/main/kotlin/toucanrelay/core/lease/LeaseStateMachine.kt
+++ b/core/src/main/kotlin/toucanrelay/core/lease/LeaseStateMachine.kt
@@ -50,7 +50,8 @@
     /** Handles a completed read; [row] is null when the row does not exist. */
     public fun onRead(row: LeaseRow?) {
         val now = clock.nowMilliseconds()
-        if (observed?.row?.version != row?.version || observed == null) observed = ObservedRow(row, now)
+        val known = observed?.takeIf { it.row?.version == row?.version }
+        observed = known?.copy(isCurrent = true) ?: ObservedRow(row, now)
         val sent = row?.let { sentWrites[it.record.token] }
         if (row != null && sent != null && !row.record.isReleased) {
             hold(row.record, row.version, sent.atMilliseconds)
--- a/core/src/test/kotlin/toucanrelay/core/lease/LeaseStateMachineTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/lease/LeaseStateMachineTest.kt
@@ -53,6 +53,31 @@
                 stateMachine.currentFencingNumber() shouldBe FencingNumber(1)
             }
 
+            it("writes again when an acquiring write got no answer and had no effect") {
+                val clock = ManualClock()
+                val stateMachine = stateMachine(clock)
+                stateMachine.onRead(null)
+                stateMachine.nextStep().shouldBeInstanceOf<LeaseStep.Write>()
+                stateMachine.onNoAnswer()
+                clock.advance(settings.retryMilliseconds)
+                stateMachine.nextStep() shouldBe LeaseStep.Read
+                stateMachine.onRead(null)
+
+                stateMachine.nextStep().shouldBeInstanceOf<LeaseStep.Write>()
+            }
+
+            it("counts another holder's lease from its first read, whatever reads got no answer since") {
+                val clock = ManualClock()
+                val stateMachine = stateMachine(clock)
+                stateMachine.onRead(heldByOther())
+                clock.advance(settings.durationMilliseconds + settings.clockMarginMilliseconds)
+                stateMachine.onNoAnswer()
+                clock.advance(settings.retryMilliseconds)
+                stateMachine.onRead(heldByOther())
+
+                stateMachine.nextStep().shouldBeInstanceOf<LeaseStep.Write>()
+            }
+
             it("waits for another holder's lease and the clock margin from when it first read the lease") {
                 val clock = ManualClock()
                 val stateMachine = stateMachine(clock)
