Let an engine that reads nothing accept a request that has waited longer than its limit

Cause: the time waited, or the lag of the event loop, is taken off the limit; below zero not even an engine without a queue was short enough. That is idle capacity while work waits. Such an engine now accepts whatever has waited.

--- a/core/src/main/kotlin/toucanrelay/core/placement/PlacementOption.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PlacementOption.kt
@@ -37,10 +37,12 @@
 
     /**
      * Returns whether the first event is expected within [allowedMilliseconds], or the queue ahead of the prompt is short.
+     *
+     * An engine that reads nothing accepts a prompt however long the request has waited.
      */
     fun startsWithin(allowedMilliseconds: Double): Boolean {
         val queueMilliseconds = speed.millisecondsToRead(candidate.load.unreadTokens) + rereadMilliseconds
-        val isShortQueue = queueMilliseconds <= allowedMilliseconds * SHORT_QUEUE_FRACTION
+        val isShortQueue = queueMilliseconds <= maxOf(0.0, allowedMilliseconds) * SHORT_QUEUE_FRACTION
         return isShortQueue || expectedMilliseconds + rereadMilliseconds <= allowedMilliseconds
     }
 
--- a/core/src/test/kotlin/toucanrelay/core/placement/PlacementPolicyTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/placement/PlacementPolicyTest.kt
@@ -70,6 +70,11 @@
                 place(prompt(2_000), candidate("a", unread = 30_000), candidate("b", unread = 40_000)) shouldBe null
             }
 
+            it("does not refuse an engine without a queue to a request that has waited longer than its limit") {
+                place(prompt(2_000), candidate("a"), candidate("b", unread = 40_000), allowed = -100.0) shouldBe "a"
+                place(prompt(2_000), candidate("a", unread = 1), allowed = -100.0) shouldBe null
+            }
+
             it("does not exclude a prompt whose own reading time exceeds the limit, if the queue is short") {
                 place(prompt(39_000), candidate("a", unread = 4_000)) shouldBe "a"
                 place(prompt(39_000), candidate("a", unread = 15_000)) shouldBe null
