Cut off answers of targets that have no end, with their reason, and suspect the target

A target may send bytes that are no answer without end, in a head or a body, until the caller closes. Parts of an answer that arrived faster than the caller read were queued without limit.

Head, body and event now have one limit each (AnswerPart); beyond it the connection is closed, the reason names the part and its limit, toucanrelay_too_large_answers counts it and the target is suspected. While more than 256 KB of an answer wait for the caller, reading from the target pauses; a paused answer is not taken for a silent target.

--- a/core/src/main/kotlin/toucanrelay/core/target/TargetHealth.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetHealth.kt
@@ -10,7 +10,7 @@
     /** Was suspected and has not responded since; receives one request at a time. */
     ON_TRIAL,
 
-    /** Was recently unreachable or silent; receives no requests for a while. */
+    /** Was recently unreachable or silent, or sent bytes without end; receives no requests for a while. */
     SUSPECTED,
 }
 
@@ -57,8 +57,18 @@
         failureRate += (1 - failureRate) * NEWEST_RESULT_WEIGHT
     }
 
-    /** Records that the target was unreachable or silent; suspends it for a time that doubles up to a limit. */
+    /** Records that the target was unreachable or silent. */
     public fun recordUnreachable() {
+        suspend()
+    }
+
+    /** Records that the target sent bytes without end that are no valid answer. */
+    public fun recordEndlessAnswer() {
+        suspend()
+    }
+
+    /** Suspects the target for a time that doubles up to a limit. */
+    private fun suspend() {
         recordFailure()
         val now = clock.nowMilliseconds()
         if (now < suspectedUntilMilliseconds) return
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
@@ -10,6 +10,7 @@
 import toucanrelay.gateway.dispatch.RequestProgress
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.Refusal
+import toucanrelay.gateway.target.AnswerPart
 import java.util.concurrent.TimeUnit
 
 /** Counters and latency histograms of the gateway. */
@@ -20,6 +21,8 @@
         TargetOutcome.entries.associateWith {
             counter("toucanrelay_retries", "after", it.name.lowercase())
         }
+    private val tooLargeAnswers =
+        AnswerPart.entries.associateWith { counter("toucanrelay_too_large_answers", "part", it.label) }
     private val outcomes = HashMap<String, Counter>()
     private val firstByteTimers = HashMap<String, Timer>()
 
@@ -29,6 +32,9 @@
     /** Returns the counter of retries after [outcome]. */
     fun retries(outcome: TargetOutcome): Counter = retries.getValue(outcome)
 
+    /** Returns the counter of invalid answers of targets in which [part] was too large. */
+    fun tooLargeAnswers(part: AnswerPart): Counter = tooLargeAnswers.getValue(part)
+
     /** Records that [request] ended with [outcome] at [nowMilliseconds]. */
     fun recordEnd(
         request: CallerRequest,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -11,6 +11,8 @@
 import toucanrelay.gateway.http.CallerResponder
 import toucanrelay.gateway.http.EventSplitter
 import toucanrelay.gateway.http.ServerSentEvent
+import toucanrelay.gateway.target.AnswerBody
+import toucanrelay.gateway.target.AnswerPart
 import toucanrelay.gateway.target.BodyPart
 import toucanrelay.gateway.target.OutgoingRequest
 import toucanrelay.gateway.target.TargetAnswer
@@ -31,14 +33,33 @@
     /** The complete answer was sent to the caller. */
     data object Answered : AttemptResult
 
-    /** No complete answer was sent; [failure] is the target's error response, if there is one to pass on. */
+    /**
+     * No complete answer was sent.
+     *
+     * @property failure the target's error response, if there is one to pass on.
+     * @property tooLarge the part of the answer of which the target sent more bytes than a valid answer has, if any.
+     */
     class Unanswered(
         val outcome: TargetOutcome,
         val detail: String,
         val failure: BufferedAnswer? = null,
+        val tooLarge: AnswerPart? = null,
     ) : AttemptResult
 }
 
+/** How reading the complete body of an answer ended. */
+private sealed interface ReadBody {
+    class Complete(
+        val bytes: Buffer,
+    ) : ReadBody
+
+    class Broken(
+        val detail: String,
+    ) : ReadBody
+
+    data object TooLarge : ReadBody
+}
+
 /** Sends a request to one target and passes the answer on to the caller. */
 internal class Attempt(
     private val request: CallerRequest,
@@ -50,12 +71,17 @@
     private val onReplaced: (TargetRegistration) -> Unit,
 ) {
     private var connection: TargetConnection? = null
+    private var answerBody: AnswerBody? = null
     private var isComplete = false
 
     /** When the request was sent. */
     var sentAtMilliseconds: Long = clock.nowMilliseconds()
         private set
 
+    /** Whether this process does not read the answer at present, because its caller is slow. */
+    val isPaused: Boolean
+        get() = answerBody?.isPaused == true
+
     /** Whether the request may be retried at another target if this one is silent. */
     val mayRunElsewhere: Boolean
         get() = request.route.mayRunAgain && progress.attempts < request.route.maxAttempts
@@ -82,6 +108,8 @@
         } catch (failure: TargetFailure.Broken) {
             target.health.recordFailure()
             return AttemptResult.Unanswered(TargetOutcome.UNKNOWN, failure.message.orEmpty())
+        } catch (failure: TargetFailure.TooLarge) {
+            return recordTooLarge(failure.part)
         } finally {
             returnConnection()
             reservation.release()
@@ -99,6 +127,7 @@
         progress.attempts++
         progress.isAtTarget = true
         val answer = opened.exchange(outgoingRequest())
+        answerBody = answer.body
         val problem = invalidReason(answer)
         return when {
             problem != null -> recordUnknown(problem)
@@ -137,14 +166,31 @@
     }
 
     private suspend fun readRejection(answer: TargetAnswer): AttemptResult {
-        if (readBody(answer) != null) isComplete = true
+        val body = readBody(answer)
+        isComplete = body is ReadBody.Complete
         progress.isAtTarget = false
         if (answer.parsedHeaders.isMisdirected) onReplaced(reservation.registered.registration)
-        return AttemptResult.Unanswered(TargetOutcome.REJECTED, "rejected with status ${answer.status}")
+        val detail = "rejected with status ${answer.status}"
+        if (body !is ReadBody.TooLarge) return AttemptResult.Unanswered(TargetOutcome.REJECTED, detail)
+        target.health.recordEndlessAnswer()
+        return AttemptResult.Unanswered(
+            TargetOutcome.REJECTED,
+            "$detail, ${AnswerPart.BODY.tooLargeDetail}",
+            tooLarge = AnswerPart.BODY,
+        )
     }
 
     private suspend fun relayBuffered(answer: TargetAnswer): AttemptResult {
-        val body = readBody(answer) ?: return recordUnknown("answer was cut off or too large, status ${answer.status}")
+        val body =
+            when (val read = readBody(answer)) {
+                is ReadBody.Complete -> read.bytes
+
+                is ReadBody.Broken -> return recordUnknown(
+                    "answer was cut off, status ${answer.status}: ${read.detail}",
+                )
+
+                ReadBody.TooLarge -> return recordTooLarge(AnswerPart.BODY)
+            }
         isComplete = true
         progress.isAtTarget = false
         reservation.recordFirstEvent()
@@ -161,25 +207,22 @@
 
     private suspend fun relayStream(answer: TargetAnswer): AttemptResult {
         val splitter = EventSplitter()
-        for (part in answer.body) {
-            when (part) {
-                is BodyPart.Bytes -> {
-                    for (event in splitter.feed(part.buffer)) {
-                        val problem = relayEvent(answer, event)
-                        if (problem != null) return recordUnknown(problem)
-                    }
-                }
-
-                is BodyPart.Broken -> {
-                    return recordUnknown("stream was cut off: ${part.detail}")
-                }
-
-                BodyPart.End -> {
-                    return endStream(splitter)
-                }
+        while (true) {
+            when (val part = answer.body.next()) {
+                is BodyPart.Bytes -> relayEvents(answer, splitter, part.buffer)?.let { return it }
+                is BodyPart.Broken -> return recordUnknown("stream was cut off: ${part.detail}")
+                BodyPart.End -> return endStream(splitter)
             }
         }
-        return recordUnknown("stream ended without an end marker")
+    }
+
+    /** Passes on the events that [bytes] complete; returns the result if the stream is invalid. */
+    private suspend fun relayEvents(answer: TargetAnswer, splitter: EventSplitter, bytes: Buffer): AttemptResult? {
+        for (event in splitter.feed(bytes)) {
+            val problem = relayEvent(answer, event)
+            if (problem != null) return recordUnknown(problem)
+        }
+        return if (splitter.partialEventBytes > AnswerPart.EVENT.maxBytes) recordTooLarge(AnswerPart.EVENT) else null
     }
 
     /** Passes [event] on; returns a description of the problem if the event is out of sequence. */
@@ -221,18 +264,21 @@
         if (progress.firstByteAtMilliseconds == null) progress.firstByteAtMilliseconds = clock.nowMilliseconds()
     }
 
-    /** Reads the complete body; returns null if it was cut off or is larger than [MAX_BUFFERED_BODY_BYTES]. */
-    private suspend fun readBody(answer: TargetAnswer): Buffer? {
+    private suspend fun readBody(answer: TargetAnswer): ReadBody {
         val body = Buffer.buffer()
-        for (part in answer.body) {
-            when (part) {
+        while (true) {
+            when (val part = answer.body.next()) {
                 is BodyPart.Bytes -> body.appendBuffer(part.buffer)
-                is BodyPart.Broken -> return null
-                BodyPart.End -> return body
+                is BodyPart.Broken -> return ReadBody.Broken(part.detail)
+                BodyPart.End -> return ReadBody.Complete(body)
             }
-            if (body.length() > MAX_BUFFERED_BODY_BYTES) return null
+            if (body.length() > AnswerPart.BODY.maxBytes) return ReadBody.TooLarge
         }
-        return null
+    }
+
+    private fun recordTooLarge(part: AnswerPart): AttemptResult {
+        target.health.recordEndlessAnswer()
+        return AttemptResult.Unanswered(TargetOutcome.UNKNOWN, part.tooLargeDetail, tooLarge = part)
     }
 
     private fun recordUnknown(detail: String): AttemptResult {
@@ -265,7 +311,6 @@
         const val BASE_SILENCE_MILLISECONDS = 900.0
         const val SERVICE_SILENCE_FACTOR = 2.0
         const val FIRST_SERVER_ERROR = 500
-        const val MAX_BUFFERED_BODY_BYTES = 8 * 1_024 * 1_024
         const val MAX_IDLE_MILLISECONDS = 4_000L
         const val MAX_IDLE_AT_MOST_ONCE_MILLISECONDS = 500L
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -123,6 +123,7 @@
     /** Decides on the next step after [result]; returns false if the request has ended. */
     private fun continueAfter(result: AttemptResult.Unanswered): Boolean {
         progress.detail = result.detail
+        result.tooLarge?.let { dependencies.meters.tooLargeAnswers(it).increment() }
         if (result.outcome == TargetOutcome.UNKNOWN ||
             result.outcome == TargetOutcome.FAILED
         ) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/SilenceDetector.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/SilenceDetector.kt
@@ -32,7 +32,7 @@
         val now = clock.nowMilliseconds()
         if (ownLagMilliseconds() >= LAG_THRESHOLD_MILLISECONDS) laggedAtMilliseconds = now
         if (now - laggedAtMilliseconds < LAG_RECOVERY_MILLISECONDS) return
-        attempts.filter { it.mayRunElsewhere && isSilent(it, now) }.forEach { it.abandon() }
+        attempts.filter { it.mayRunElsewhere && !it.isPaused && isSilent(it, now) }.forEach { it.abandon() }
     }
 
     private fun isSilent(attempt: Attempt, now: Long): Boolean {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/EventSplitter.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/EventSplitter.kt
@@ -23,6 +23,10 @@
     val hasPartialEvent: Boolean
         get() = pending.length() > 0
 
+    /** Number of bytes of the incomplete event. */
+    val partialEventBytes: Int
+        get() = pending.length()
+
     /** Buffers [bytes] and returns the events that they complete. */
     fun feed(bytes: Buffer): List<ServerSentEvent> {
         pending.appendBuffer(bytes)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
@@ -1,32 +1,14 @@
 package toucanrelay.gateway.target
 
 import io.vertx.core.MultiMap
-import io.vertx.core.buffer.Buffer
-import kotlinx.coroutines.channels.ReceiveChannel
 import toucanrelay.platform.TargetHeaders
 
-/** A part of the body of a target's answer, or its end. */
-internal sealed interface BodyPart {
-    /** Bytes of the body. */
-    class Bytes(
-        val buffer: Buffer,
-    ) : BodyPart
-
-    /** The body is complete. */
-    data object End : BodyPart
-
-    /** The connection failed before the body was complete. */
-    data class Broken(
-        val detail: String,
-    ) : BodyPart
-}
-
 /** The status and headers of a target's answer, and its body as it arrives. */
 internal class TargetAnswer(
     val status: Int,
     val headers: MultiMap,
     val parsedHeaders: TargetHeaders,
-    val body: ReceiveChannel<BodyPart>,
+    val body: AnswerBody,
 ) {
     /** Whether the target reports success. */
     val isSuccess: Boolean
@@ -51,4 +33,9 @@
     class Broken(
         message: String,
     ) : TargetFailure(message)
+
+    /** The target sent more bytes for [part] of the answer than a valid answer has. */
+    class TooLarge(
+        val part: AnswerPart,
+    ) : TargetFailure(part.tooLargeDetail)
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnection.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnection.kt
@@ -1,5 +1,6 @@
 package toucanrelay.gateway.target
 
+import io.netty.handler.codec.TooLongFrameException
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientConnection
@@ -10,7 +11,6 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.channels.Channel
 import toucanrelay.core.time.Clock
 import toucanrelay.platform.PlatformHeaders
 
@@ -51,7 +51,11 @@
     fun isReusable(maxIdleMilliseconds: Long): Boolean =
         !isClosed && !isLastExchange && idleMilliseconds < minOf(maxIdleMilliseconds, keepAliveMilliseconds)
 
-    /** Sends [outgoing] and returns the answer once its headers have arrived; throws [TargetFailure.Broken]. */
+    /**
+     * Sends [outgoing] and returns the answer once its headers have arrived.
+     *
+     * Throws [TargetFailure.Broken] or [TargetFailure.TooLarge].
+     */
     suspend fun exchange(outgoing: OutgoingRequest): TargetAnswer {
         val answer = CompletableDeferred<TargetAnswer>()
         try {
@@ -59,6 +63,7 @@
             val request = connection.request(options).coAwait()
             request.headers().setAll(outgoing.headers)
             request.exceptionHandler { answer.completeExceptionally(it) }
+            limitInformationalResponses(request, answer)
             request.response().onComplete(
                 { response -> answer.complete(receive(response)) },
                 { cause -> answer.completeExceptionally(cause) },
@@ -67,6 +72,10 @@
             return answer.await()
         } catch (cancelled: CancellationException) {
             throw cancelled
+        } catch (failure: TargetFailure) {
+            throw failure
+        } catch (_: TooLongFrameException) {
+            throw TargetFailure.TooLarge(AnswerPart.HEAD)
         } catch (failure: Exception) {
             throw TargetFailure.Broken(failure.message ?: failure.javaClass.simpleName)
         }
@@ -83,6 +92,19 @@
         connection.close()
     }
 
+    /** Fails [answer] if the target sends informational responses without end. */
+    private fun limitInformationalResponses(request: HttpClientRequest, answer: CompletableDeferred<TargetAnswer>) {
+        var received = 0
+        val count = {
+            received++
+            if (received > MAX_INFORMATIONAL_RESPONSES) {
+                answer.completeExceptionally(TargetFailure.TooLarge(AnswerPart.HEAD))
+            }
+        }
+        request.continueHandler { count() }
+        request.earlyHintsHandler { count() }
+    }
+
     private fun send(request: HttpClientRequest, outgoing: OutgoingRequest) {
         if (outgoing.body.length() == 0 && outgoing.method == HttpMethod.GET) {
             request.end()
@@ -93,18 +115,18 @@
     }
 
     private fun receive(response: HttpClientResponse): TargetAnswer {
-        val body = Channel<BodyPart>(Channel.UNLIMITED)
+        val body = AnswerBody({ response.pause() }, { response.resume() })
         var isBroken = false
         onReceived()
         response.handler { bytes ->
             onReceived()
-            body.trySend(BodyPart.Bytes(bytes))
+            body.add(BodyPart.Bytes(bytes))
         }
         response.exceptionHandler { cause ->
             isBroken = true
-            body.trySend(BodyPart.Broken(cause.message ?: cause.javaClass.simpleName))
+            body.add(BodyPart.Broken(cause.message ?: cause.javaClass.simpleName))
         }
-        response.endHandler { if (!isBroken) body.trySend(BodyPart.End) }
+        response.endHandler { if (!isBroken) body.add(BodyPart.End) }
         readKeepAlive(response.headers())
         val parsedHeaders = PlatformHeaders.readTargetResponse(response.statusCode(), response.headers())
         return TargetAnswer(response.statusCode(), response.headers(), parsedHeaders, body)
@@ -125,6 +147,7 @@
     }
 
     private companion object {
+        const val MAX_INFORMATIONAL_RESPONSES = 16
         const val DEFAULT_KEEP_ALIVE_MILLISECONDS = 4_000L
         const val KEEP_ALIVE_MARGIN_MILLISECONDS = 400L
         const val MILLISECONDS_PER_SECOND = 1_000L
