Keep the queues of engines short for organisations at their share

Since the level divides what the engines really serve, large organisations stay near their share, where the limit allowed a queue of 0.4 of the objective; before, the level was too low and they were held at 0.05. At the share 0.1 of the objective is allowed now.

--- a/core/src/main/kotlin/toucanrelay/core/overload/AdmissionLatencyLimit.kt
+++ b/core/src/main/kotlin/toucanrelay/core/overload/AdmissionLatencyLimit.kt
@@ -54,7 +54,7 @@
 
     private const val MAX_FACTOR_UP_TO_SHARE = 0.3
     private const val MAX_FACTOR = 0.9
-    private const val FACTOR_AT_SHARE = 0.4
+    private const val FACTOR_AT_SHARE = 0.1
     private const val DECLINE_ABOVE_SHARE = 3
     private const val CALLER_RETRY_ADVANTAGE = 0.8
     private const val MAX_CALLER_RETRY_FACTOR = 1.2
