--- a/core/src/main/kotlin/toucanrelay/core/target/TargetHealth.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetHealth.kt
@@ -59,16 +59,16 @@
 
     /** Records that the target was unreachable or silent. */
     public fun recordUnreachable() {
-        suspend()
+        suspect()
     }
 
     /** Records that the target sent bytes without end that are no valid answer. */
     public fun recordEndlessAnswer() {
-        suspend()
+        suspect()
     }
 
     /** Suspects the target for a time that doubles up to a limit. */
-    private fun suspend() {
+    private fun suspect() {
         recordFailure()
         val now = clock.nowMilliseconds()
         if (now < suspectedUntilMilliseconds) return
