Bound the work of placing waiting requests

Every 20 ms and at each digest the gateway tried to place each waiting request on each target; with 100 to 400 waiting and 25 targets this took the processor time that serving needed, and the requests ended in the queue.

A pass now gives up on an organisation after four failures in a row, so that its work no longer grows with the queue. PlacementPassTest: the loop as it was calls place once for each waiting request (10, 100 and 1,000 for queues of these lengths); the bound asks for the same number, at most 10.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 import toucanrelay.core.identity.TargetId
+import toucanrelay.core.overload.PlacementPass
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.Refusal
@@ -76,14 +77,14 @@
     }
 
     private fun drain() {
-        waiters.sortedWith(order.thenBy { it.request.arrivedAtMilliseconds }).forEach { waiter ->
-            val result = placer.place(waiter.request, waiter.excluded, ::wake)
-            if (result is PlacementResult.Placed) {
-                waiters.remove(waiter)
-                waiter.reservation = result.reservation
-                waiter.placed.complete(Unit)
+        val placed =
+            PlacementPass.run(waiters.sortedWith(order), { it.request.account }) { waiter ->
+                val result = placer.place(waiter.request, waiter.excluded, ::wake)
+                waiter.reservation = (result as? PlacementResult.Placed)?.reservation
+                result is PlacementResult.Placed
             }
-        }
+        waiters.removeAll(placed.toSet())
+        placed.forEach { it.placed.complete(Unit) }
         if (waiters.isNotEmpty()) wake()
     }
 
@@ -92,6 +93,7 @@
             .thenBy { shares.servedPerSecond(it.request.account) }
             .thenBy { it.request.rank }
             .thenBy { !it.request.isCallerRetry }
+            .thenBy { it.request.arrivedAtMilliseconds }
 
     private fun maxWaitMilliseconds(waiter: Waiter): Long {
         val request = waiter.request
