Check that lost digests do not starve an organisation at one gateway

In the simulation with 97 % of its digests lost the organisation still gets half of its share, so this is refuted as a cause by itself; the check stays as a guard.

--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/FleetFairnessTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/FleetFairnessTest.kt
@@ -86,6 +86,13 @@
             }
         }
 
+        describe("a fleet in which the gateway of one organisation reads few of the digests because it lags") {
+            itDividesFairly(SHARES) {
+                largeOrganisations()
+                lostDigests = mapOf(0 to 0.97)
+            }
+        }
+
         describe("a fleet that loses a third of its engines and has its gateways replaced one after the other") {
             itDividesFairly(SHARES.mapValues { if (it.key == "small-0") 2.5 else 23.0 }, CAPACITY_PER_SECOND * 2 / 3) {
                 largeOrganisations()
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/FleetSimulation.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/FleetSimulation.kt
@@ -47,6 +47,9 @@
     /** Configured throughput as a multiple of what the engines give. */
     var configuredFactor = 1.0
 
+    /** Fraction of the digests to a gateway that are lost, by the gateway's index. */
+    var lostDigests: Map<Int, Double> = emptyMap()
+
     /** Called at the start of each step with the simulation and its time in milliseconds. */
     var onStep: (FleetSimulation, Long) -> Unit = { _, _ -> }
     val loads = mutableListOf<CallerLoad>()
@@ -161,10 +164,18 @@
         if (index % OWN_REGION_DIGEST_STEPS != 0 && !isForOthers) return
         gateways.forEach { sender ->
             val digest = sender.digest(index.toLong())
-            gateways.forEach { if (it !== sender && (isForOthers || it.region == sender.region)) it.receive(digest) }
+            gateways.forEachIndexed { receiver, gateway ->
+                val isAddressed = gateway !== sender && (isForOthers || gateway.region == sender.region)
+                if (isAddressed && !isLost(receiver)) gateway.receive(digest)
+            }
         }
     }
 
+    private fun isLost(receiver: Int): Boolean {
+        val fraction = options.lostDigests[receiver] ?: return false
+        return random.nextDouble() < fraction
+    }
+
     private fun prompt(): PromptProfile =
         PromptProfile(
             model = null,
