Withdraw an overloaded gateway from load balancing until its callers have moved

It does neither where fewer than half of its failure domain would be left, since the load balancer then uses all of them.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -17,6 +17,7 @@
 internal class DigestSender(
     private val components: GatewayComponents,
     private val incarnation: Long,
+    private val isReady: () -> Boolean,
 ) {
     private val memberExchange = MemberExchange(components.vertx, components.fleet, components.log, ::receive)
     private var sequence = 0L
@@ -60,6 +61,7 @@
                     copy.ageMilliseconds?.let { TableAgeEntry(table, it) }
                 },
             servedByRegion = servedByRegion(),
+            isReady = isReady(),
         )
 
     private fun loads(): List<TargetLoadEntry> =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -35,7 +35,7 @@
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val components = GatewayComponents(settings, vertx, scope, log, loopLag)
     private val incarnation = EpochClock.nowMilliseconds()
-    private val digestSender = DigestSender(components, incarnation)
+    private val digestSender = DigestSender(components, incarnation, ::isReady)
     private val membership = Membership(components, incarnation)
     private var settingsModifiedAtMilliseconds = lastModified()
 
@@ -56,7 +56,7 @@
             components.registerGauges()
             schedulePeriodic(DIGEST_SEND_PERIOD_MILLISECONDS) { digestSender.send() }
             schedulePeriodic(DIGEST_APPLY_PERIOD_MILLISECONDS) { digestSender.applyReceived() }
-            schedulePeriodic(LoopLag.PERIOD_MILLISECONDS) { components.loopLag.recordTick() }
+            schedulePeriodic(LoopLag.PERIOD_MILLISECONDS) { components.recordTick() }
             schedulePeriodic(MEMBER_EXPIRY_PERIOD_MILLISECONDS) { components.fleet.expireSilent() }
             schedulePeriodic(SILENCE_CHECK_PERIOD_MILLISECONDS) { components.silenceDetector.abandonSilent() }
             schedulePeriodic(FAIR_SHARES_LOG_PERIOD_MILLISECONDS) { components.logFairShares() }
@@ -132,6 +132,7 @@
         vertx.setPeriodic(milliseconds) { action() }
     }
 
+            !components.withdrawal.isWithdrawn &&
     internal companion object {
         /** Options of a Vert.x instance with a single event loop, to which all components are confined. */
         fun singleEventLoop(): VertxOptions =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -3,7 +3,9 @@
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
 import toucanrelay.core.configuration.ConfigurationRegister
+import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.overload.OrganisationUsage
+import toucanrelay.core.overload.OverloadWithdrawal
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.target.TargetRegistry
 import toucanrelay.core.time.EpochClock
@@ -52,6 +54,8 @@
     val silenceDetector = SilenceDetector(clock) { loopLag.milliseconds }
     val store = StoreClient(vertx, addressOf(settings.storeAddress))
 
+    /** Withdraws this process from load balancing while it is overloaded. */
+    val withdrawal = OverloadWithdrawal(clock)
     val fairShares = FairShares(clock, organisationUsage, fleet)
     private val placer = Placer(settings, clock, pool, fleet, fairShares, recentReads)
     private val outputEstimates = OutputEstimates()
@@ -102,8 +106,18 @@
             ),
             configurations,
             loopLag,
+            withdrawal,
         )
 
+    /** Measures the lag of the event loop and decides whether this process is overloaded. */
+    fun recordTick() {
+        loopLag.recordTick()
+        val isSpared = loopLag.isOverloaded && fleet.canReplaceSelf(FailureDomainId(settings.failureDomain))
+        val wasWithdrawn = withdrawal.isWithdrawn
+        withdrawal.update(loopLag.isOverloaded, isSpared)
+        if (withdrawal.isWithdrawn && !wasWithdrawn) log.write("withdrawn", "loopLagMs" to loopLag.milliseconds)
+    }
+
     /** Returns the maximum age of the configuration at which its keys are still accepted. */
     fun maxAgeMilliseconds(): Long = (settings.bounds.revocationMilliseconds - REVOCATION_MARGIN_MILLISECONDS).toLong()
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.launch
 import toucanrelay.core.configuration.ConfigurationRegister
 import toucanrelay.core.overload.RetryDelay
+import toucanrelay.core.overload.OverloadWithdrawal
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.gateway.LoopLag
 import toucanrelay.gateway.dispatch.RequestRunner
@@ -30,6 +31,7 @@
     private val register: ConfigurationRegister,
     private val loopLag: LoopLag,
 ) {
+    private val withdrawal: OverloadWithdrawal,
     private var server: HttpServer? = null
 
     /** Number of requests being served. */
@@ -41,7 +43,7 @@
     var hasBeenCalled: Boolean = false
         private set
 
-    /** Whether the process is draining, so that each connection is closed after its current request. */
+    /** Whether the process is draining; like a withdrawn one, it closes each connection after its current request. */
     var isDraining: Boolean = false
 
     /** Whether new requests are refused because too little time is left before the shutdown. */
@@ -64,7 +66,7 @@
 
     private fun handle(request: HttpServerRequest) {
         val arrivedAt = dependencies.clock.nowMilliseconds() - queuedMilliseconds()
-        val responder = CallerResponder(request) { isDraining }
+        val responder = CallerResponder(request) { isDraining || withdrawal.isWithdrawn }
         active++
         hasBeenCalled = true
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { serve(request, responder, arrivedAt) }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -92,6 +92,17 @@
             members.filterValues { isLive(it) && isInOwnRegion(it) && it.digest?.isLeaving == false }.keys,
         )
 
+    /**
+     * Returns whether at least half of the members of [failureDomain] are ready without this process.
+     *
+     * With fewer, a load balancer uses all members of the failure domain, whether they are ready or not.
+     */
+    fun canReplaceSelf(failureDomain: FailureDomainId): Boolean {
+        val others = members.values.filter { it.digest?.failureDomain == failureDomain.value }
+        val ready = others.count { isLive(it) && it.digest?.isReady == true && it.digest?.isLeaving == false }
+        return 2 * ready >= others.size + 1
+    }
+
     /** Returns the freshest copy of [table] that a live member offers; prefers a slightly older one in this region. */
     fun bestOffer(table: String): TableOffer? =
         members.mapNotNull { offerOf(it, table) }.minByOrNull { it.ageMilliseconds }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -66,6 +66,7 @@
  * @property incarnation start of the member's run, in milliseconds since 1970.
  * @property sequence increases with each digest of a run.
  * @property isLeaving whether the member is shutting down.
+ * @property isReady whether the member tells the load balancer that it takes new connections.
  * @property tables copies of tables that other members can read.
  */
 @Serializable
@@ -80,4 +81,5 @@
     @ProtoNumber(8) val failureDomain: String = "",
     @ProtoNumber(9) val tables: List<TableAgeEntry> = emptyList(),
     @ProtoNumber(10) val servedByRegion: List<RegionServedEntry> = emptyList(),
+    @ProtoNumber(12) val isReady: Boolean = true,
 )
--- a/gateway/src/test/kotlin/toucanrelay/gateway/member/FleetViewTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/member/FleetViewTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import toucanrelay.core.following.ReaderRank
+import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.RegionId
 import toucanrelay.core.identity.TargetId
@@ -37,6 +38,34 @@
     DescribeSpec({
         fun FleetView.requests() = loads()[TargetId("t")]?.load?.requests
 
+        describe("a member that is overloaded") {
+            fun ready(instance: String, isReady: Boolean = true, domain: String = "near") =
+                MemberDigest(instance, incarnation = 1, sequence = 1, failureDomain = domain, isReady = isReady)
+
+            val domain = FailureDomainId("near")
+
+            it("can be replaced while half of its failure domain is ready without it") {
+                val view = view()
+                view.canReplaceSelf(domain) shouldBe false
+                view.recordDigest(ready("b"), ADDRESS)
+                view.canReplaceSelf(domain) shouldBe true
+                view.recordDigest(ready("c", isReady = false), ADDRESS)
+                view.canReplaceSelf(domain) shouldBe false
+                view.recordDigest(ready("d"), ADDRESS)
+                view.canReplaceSelf(domain) shouldBe true
+            }
+
+            it("is not replaced by members of other failure domains or by silent ones") {
+                val clock = ManualClock()
+                val view = view(clock = clock)
+                view.recordDigest(ready("b", domain = "far"), ADDRESS)
+                view.canReplaceSelf(domain) shouldBe false
+                view.recordDigest(ready("c"), ADDRESS)
+                clock.advance(10_000)
+                view.canReplaceSelf(domain) shouldBe false
+            }
+        }
+
         describe("the load of the other members") {
             it("comes from the newest digest, whatever the order of arrival") {
                 val view = view()
