Close the longest idle connections of callers before descriptors run out

Callers may now hold 0.6 of the descriptors that the settings allow; beyond that the connection that has been idle for longest is closed.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -107,6 +107,7 @@
             configurations,
             loopLag,
             withdrawal,
+            settings.maxCallerConnections,
         )
 
     /** Measures the lag of the event loop and decides whether this process is overloaded. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
@@ -7,6 +7,9 @@
 internal fun GatewayComponents.registerGauges() {
     meters.gauge("toucanrelay_active_requests") { server.active }
     meters.gauge("toucanrelay_waiting_requests") { admission.waiting }
+    meters.gauge("toucanrelay_caller_connections") { server.openConnections }
+    meters.gauge("toucanrelay_closed_caller_connections") { server.closedConnections }
+    meters.gauge("toucanrelay_withdrawn") { if (withdrawal.isWithdrawn) 1 else 0 }
     meters.gauge("toucanrelay_loop_lag_milliseconds") { loopLag.milliseconds }
     meters.gauge("toucanrelay_fair_level_tokens_per_second") { fairShares.summary().levelPerSecond }
     meters.gauge("toucanrelay_demanded_tokens_per_second") { fairShares.summary().demandedPerSecond }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.getOrElse
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
@@ -30,8 +31,19 @@
     private val dependencies: RunnerDependencies,
     private val register: ConfigurationRegister,
     private val loopLag: LoopLag,
+) {
+    maxConnections: Int,
 ) {
     private val withdrawal: OverloadWithdrawal,
+    private val connections = IdleConnections<HttpConnection>(maxConnections) { it.close() }
+
+    /** Number of callers' open connections. */
+    val openConnections: Int
+        get() = connections.open
+
+    /** Number of idle connections of callers that were closed because there were too many. */
+    val closedConnections: Long
+        get() = connections.closed
     private var server: HttpServer? = null
 
     /** Number of requests being served. */
@@ -53,6 +65,7 @@
     suspend fun listen(address: TargetAddress) {
         server =
             vertx
+                .connectionHandler { watch(it) }
                 .createHttpServer(options())
                 .requestHandler { handle(it) }
                 .listen(address.port, address.host)
@@ -63,14 +76,23 @@
     suspend fun close() {
         server?.close()?.coAwait()
     }
+    private fun watch(connection: HttpConnection) {
+        connections.recordOpened(connection)
+        connection.closeHandler { connections.recordClosed(connection) }
+    }
+
 
     private fun handle(request: HttpServerRequest) {
         val arrivedAt = dependencies.clock.nowMilliseconds() - queuedMilliseconds()
         val responder = CallerResponder(request) { isDraining || withdrawal.isWithdrawn }
         active++
+        connections.recordRequest(request.connection())
         hasBeenCalled = true
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { serve(request, responder, arrivedAt) }
-        job.invokeOnCompletion { active-- }
+        job.invokeOnCompletion {
+            active--
+            connections.recordIdle(request.connection())
+        }
         cancelOnDisconnect(request, responder, job)
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
@@ -33,6 +33,7 @@
  * @property readinessAddress `host:port` at which the load balancer probes whether the process is ready.
  * @property memberPorts first and last port for traffic between instances; the same on every instance.
  * @property storeAddress `host:port` of the platform's store.
+ * @property maxDescriptors number of files and sockets that the process may have open.
  */
 @Serializable
 public data class GatewaySettings(
@@ -45,6 +46,7 @@
     public val memberPorts: List<Int>,
     public val storeAddress: String,
     public val bounds: Bounds,
+    public val maxDescriptors: Int = DEFAULT_MAX_DESCRIPTORS,
 ) {
     /** Identifier of this instance. */
     public val instanceId: InstanceId
@@ -62,6 +64,10 @@
     public val metricsPort: Int
         get() = memberPorts.first() + METRICS_PORT_OFFSET
 
+    /** Number of connections that callers may hold; the other descriptors are for files, targets, members and the store. */
+    internal val maxCallerConnections: Int
+        get() = (maxDescriptors * CALLER_FRACTION_OF_DESCRIPTORS).toInt()
+
     /** Returns the region of [failureDomain], or null if the settings do not list it. */
     public fun regionOf(failureDomain: FailureDomainId): RegionId? = regions[failureDomain.value]?.let { RegionId(it) }
 
@@ -71,6 +77,8 @@
 
     public companion object {
         private const val METRICS_PORT_OFFSET = 1
+        private const val DEFAULT_MAX_DESCRIPTORS = 1_024
+        private const val CALLER_FRACTION_OF_DESCRIPTORS = 0.6
 
         /** Offset of the port for copies of tables from the one for digests; the same on every instance. */
         internal const val TABLE_PORT_OFFSET = 2
