Let callers wait for a gateway that has just started until its code is warm

The warm-up was skipped because callers had arrived.

A gateway is now ready once its warm-up is complete or 5 s after its start; until then others of its failure domain take its callers.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -30,6 +30,7 @@
     private val vertx: Vertx = Vertx.vertx(singleEventLoop()),
     log: EventLog = EventLog(MonotonicClock),
     loopLag: LoopLag = LoopLag(MonotonicClock),
+    private val startUp: StartUp = StartUp(MonotonicClock),
 ) {
     private val dispatcher = vertx.orCreateContext.dispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
@@ -68,6 +69,11 @@
     val hasBeenCalled: Boolean
         get() = components.server.hasBeenCalled
 
+    /** Records that the warm-up of this process is complete. */
+    fun recordWarm() {
+        vertx.runOnContext { startUp.recordWarm() }
+    }
+
     /** Stops all work immediately and closes Vert.x. */
     suspend fun close() {
         scope.cancel()
@@ -123,8 +129,10 @@
     }
 
     private fun isReady(): Boolean =
-        !components.server.isDraining &&
+        startUp.isComplete &&
+            !components.server.isDraining &&
             !components.loopLag.isOverloaded &&
+            !components.withdrawal.isWithdrawn &&
             components.configurations.isFresh(components.maxAgeMilliseconds()) &&
             components.targets.currentTargets().isNotEmpty()
 
@@ -132,7 +140,6 @@
         vertx.setPeriodic(milliseconds) { action() }
     }
 
-            !components.withdrawal.isWithdrawn &&
     internal companion object {
         /** Options of a Vert.x instance with a single event loop, to which all components are confined. */
         fun singleEventLoop(): VertxOptions =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
@@ -87,7 +87,7 @@
         System.err.println("toucanrelay-gateway: cannot start: $failure")
         exitProcess(EXIT_FAILED)
     }
-    thread(isDaemon = true, name = "warm-up") { runBlocking { WarmUp.run { gateway.hasBeenCalled } } }
+    thread(isDaemon = true, name = "warm-up") { runBlocking { WarmUp.run(gateway) } }
     Signal.handle(Signal("HUP")) { gateway.reload() }
     Runtime.getRuntime().addShutdownHook(Thread { runBlocking { gateway.stop() } })
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -16,8 +16,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import toucanrelay.core.configuration.ConfigurationRegister
-import toucanrelay.core.overload.RetryDelay
 import toucanrelay.core.overload.OverloadWithdrawal
+import toucanrelay.core.overload.RetryDelay
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.gateway.LoopLag
 import toucanrelay.gateway.dispatch.RequestRunner
@@ -31,10 +31,10 @@
     private val dependencies: RunnerDependencies,
     private val register: ConfigurationRegister,
     private val loopLag: LoopLag,
-) {
+    private val withdrawal: OverloadWithdrawal,
     maxConnections: Int,
 ) {
-    private val withdrawal: OverloadWithdrawal,
+    private var server: HttpServer? = null
     private val connections = IdleConnections<HttpConnection>(maxConnections) { it.close() }
 
     /** Number of callers' open connections. */
@@ -44,7 +44,6 @@
     /** Number of idle connections of callers that were closed because there were too many. */
     val closedConnections: Long
         get() = connections.closed
-    private var server: HttpServer? = null
 
     /** Number of requests being served. */
     var active: Int = 0
@@ -65,8 +64,8 @@
     suspend fun listen(address: TargetAddress) {
         server =
             vertx
-                .connectionHandler { watch(it) }
                 .createHttpServer(options())
+                .connectionHandler { watch(it) }
                 .requestHandler { handle(it) }
                 .listen(address.port, address.host)
                 .coAwait()
@@ -76,18 +75,18 @@
     suspend fun close() {
         server?.close()?.coAwait()
     }
+
     private fun watch(connection: HttpConnection) {
         connections.recordOpened(connection)
         connection.closeHandler { connections.recordClosed(connection) }
     }
 
-
     private fun handle(request: HttpServerRequest) {
         val arrivedAt = dependencies.clock.nowMilliseconds() - queuedMilliseconds()
         val responder = CallerResponder(request) { isDraining || withdrawal.isWithdrawn }
         active++
-        connections.recordRequest(request.connection())
         hasBeenCalled = true
+        connections.recordRequest(request.connection())
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { serve(request, responder, arrivedAt) }
         job.invokeOnCompletion {
             active--
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -54,6 +54,7 @@
         val limit = if (isOverloaded) 0.0 else Double.POSITIVE_INFINITY
         val loopLag = LoopLag(MonotonicClock, overloadThresholdMilliseconds = limit)
         gateway = Gateway(settings(revocationMilliseconds), settingsFile, gatewayVertx, loopLag = loopLag)
+        gateway.recordWarm()
         gateway.start()
         if (isOverloaded) return
         eventually { send("/calls/x").status == 200 }
