Quarantine prompt parts on which targets crash, by the evidence of the whole fleet

Nothing connected the end of a target with what it was processing; each request with the part went to the next sound target.

A gateway whose target breaks off requests before they have two events opens a new connection. Refused, the target has crashed, and the shared parts of these requests become suspects; an answer to any request with a part clears it. Requests with it are refused at once, and a request that saw its target crash on a suspect is not sent to a second one.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -6,6 +6,7 @@
 import toucanrelay.gateway.member.MemberDigest
 import toucanrelay.gateway.member.MemberExchange
 import toucanrelay.gateway.member.OthersLoad
+import toucanrelay.gateway.member.PartEvidenceExchange
 import toucanrelay.gateway.member.PromptReadEntry
 import toucanrelay.gateway.member.RegionServedEntry
 import toucanrelay.gateway.member.TableAgeEntry
@@ -19,6 +20,7 @@
     private val incarnation: Long,
     private val isReady: () -> Boolean,
 ) {
+    private val partEvidence = PartEvidenceExchange(components.quarantine, components.clock)
     private val memberExchange = MemberExchange(components.vertx, components.fleet, components.log, ::receive)
     private var sequence = 0L
     private var hasUnappliedDigests = false
@@ -62,6 +64,7 @@
                 },
             servedByRegion = servedByRegion(),
             isReady = isReady(),
+            partEvidence = partEvidence.shared(),
         )
 
     private fun loads(): List<TargetLoadEntry> =
@@ -105,6 +108,7 @@
                 ?.residency
                 ?.recordRead(shared)
         }
+        partEvidence.receive(digest.partEvidence)
         hasUnappliedDigests = true
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -94,6 +94,7 @@
             .load(settingsFile)
             .onSuccess { loaded ->
                 components.settings = loaded
+                vertx.runOnContext { loaded.releasedPromptParts.forEach { components.quarantine.release(it) } }
                 components.log.write("reload", "instance" to loaded.instance)
             }.onFailure { components.log.write("reload-failed", "detail" to it.detail) }
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -6,11 +6,14 @@
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.overload.OrganisationUsage
 import toucanrelay.core.overload.OverloadWithdrawal
+import toucanrelay.core.quarantine.PartCondition
+import toucanrelay.core.quarantine.PromptPartQuarantine
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.target.TargetRegistry
 import toucanrelay.core.time.EpochClock
 import toucanrelay.core.time.MonotonicClock
 import toucanrelay.gateway.dispatch.Admission
+import toucanrelay.gateway.dispatch.CrashDetector
 import toucanrelay.gateway.dispatch.FairShares
 import toucanrelay.gateway.dispatch.OutputEstimates
 import toucanrelay.gateway.dispatch.Placer
@@ -51,6 +54,7 @@
     val fleet = FleetView(settings.instanceId, settings.region, clock) { settings.regionOf(it) }
     val recentReads = RecentPromptReads()
     val organisationUsage = OrganisationUsage(clock)
+    val quarantine = PromptPartQuarantine(clock, ::logPartCondition)
     val silenceDetector = SilenceDetector(clock) { loopLag.milliseconds }
     val store = StoreClient(vertx, addressOf(settings.storeAddress))
 
@@ -100,6 +104,8 @@
                 outputEstimates = outputEstimates,
                 retryBudgets = RetryBudgets(clock, { settings.bounds }, fleet),
                 silenceDetector = silenceDetector,
+                quarantine = quarantine,
+                crashDetector = CrashDetector(scope, targets, quarantine, log),
                 meters = meters,
                 log = log,
                 random = Random.Default,
@@ -119,6 +125,10 @@
         if (withdrawal.isWithdrawn && !wasWithdrawn) log.write("withdrawn", "loopLagMs" to loopLag.milliseconds)
     }
 
+    private fun logPartCondition(part: String, condition: PartCondition) {
+        log.write("prompt-part-${condition.name.lowercase()}", "part" to part)
+    }
+
     /** Returns the maximum age of the configuration at which its keys are still accepted. */
     fun maxAgeMilliseconds(): Long = (settings.bounds.revocationMilliseconds - REVOCATION_MARGIN_MILLISECONDS).toLong()
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
@@ -1,6 +1,7 @@
 package toucanrelay.gateway
 
 import io.micrometer.core.instrument.Tags
+import toucanrelay.core.quarantine.PartCondition
 import toucanrelay.core.target.TargetCondition
 
 /** Registers the gauges that read the state of the gateway's components at each scrape. */
@@ -24,6 +25,11 @@
     tableCopies.forEach { (table, copy) ->
         meters.gauge("toucanrelay_table_age_milliseconds", Tags.of("table", table)) { copy.ageMilliseconds }
     }
+    listOf(PartCondition.SUSPECTED, PartCondition.QUARANTINED).forEach { condition ->
+        meters.gauge("toucanrelay_prompt_parts", Tags.of("condition", condition.name.lowercase())) {
+            quarantine.counts()[condition] ?: 0
+        }
+    }
     TargetCondition.entries.forEach { condition ->
         meters.gauge("toucanrelay_targets", Tags.of("condition", condition.name.lowercase())) {
             pool.all().count { it.health.condition == condition }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -38,12 +38,14 @@
      *
      * @property failure the target's error response, if there is one to pass on.
      * @property tooLarge the part of the answer of which the target sent more bytes than a valid answer has, if any.
+     * @property isBrokenOffEarly whether the connection failed before the target had written more than a first event.
      */
     class Unanswered(
         val outcome: TargetOutcome,
         val detail: String,
         val failure: BufferedAnswer? = null,
         val tooLarge: AnswerPart? = null,
+        val isBrokenOffEarly: Boolean = false,
     ) : AttemptResult
 }
 
@@ -73,6 +75,7 @@
     private var connection: TargetConnection? = null
     private var answerBody: AnswerBody? = null
     private var isComplete = false
+    private var events = 0
 
     /** When the request was sent. */
     var sentAtMilliseconds: Long = clock.nowMilliseconds()
@@ -106,8 +109,7 @@
             target.health.recordUnreachable()
             return AttemptResult.Unanswered(TargetOutcome.NOT_SENT, failure.message.orEmpty())
         } catch (failure: TargetFailure.Broken) {
-            target.health.recordFailure()
-            return AttemptResult.Unanswered(TargetOutcome.UNKNOWN, failure.message.orEmpty())
+            return recordBrokenOff(failure.message.orEmpty())
         } catch (failure: TargetFailure.TooLarge) {
             return recordTooLarge(failure.part)
         } finally {
@@ -185,7 +187,7 @@
             when (val read = readBody(answer)) {
                 is ReadBody.Complete -> read.bytes
 
-                is ReadBody.Broken -> return recordUnknown(
+                is ReadBody.Broken -> return recordBrokenOff(
                     "answer was cut off, status ${answer.status}: ${read.detail}",
                 )
 
@@ -210,7 +212,7 @@
         while (true) {
             when (val part = answer.body.next()) {
                 is BodyPart.Bytes -> relayEvents(answer, splitter, part.buffer)?.let { return it }
-                is BodyPart.Broken -> return recordUnknown("stream was cut off: ${part.detail}")
+                is BodyPart.Broken -> return recordBrokenOff("stream was cut off: ${part.detail}")
                 BodyPart.End -> return endStream(splitter)
             }
         }
@@ -237,12 +239,13 @@
         recordFirstEvent()
         if (id != null) progress.lastEventId = id
         progress.events++
+        events++
         responder.writeChunk(event.bytes)
         return null
     }
 
     private fun endStream(splitter: EventSplitter): AttemptResult {
-        if (splitter.hasPartialEvent || !responder.hasBegun) return recordUnknown("stream ended within an event")
+        if (splitter.hasPartialEvent || !responder.hasBegun) return recordBrokenOff("stream ended within an event")
         isComplete = true
         progress.isAtTarget = false
         target.health.recordSuccess()
@@ -281,6 +284,15 @@
         return AttemptResult.Unanswered(TargetOutcome.UNKNOWN, part.tooLargeDetail, tooLarge = part)
     }
 
+    private fun recordBrokenOff(detail: String): AttemptResult {
+        target.health.recordFailure()
+        return AttemptResult.Unanswered(
+            TargetOutcome.UNKNOWN,
+            detail,
+            isBrokenOffEarly = events < EVENTS_OF_BEGUN_ANSWER,
+        )
+    }
+
     private fun recordUnknown(detail: String): AttemptResult {
         target.health.recordFailure()
         return AttemptResult.Unanswered(TargetOutcome.UNKNOWN, detail)
@@ -310,6 +322,9 @@
     private companion object {
         const val BASE_SILENCE_MILLISECONDS = 900.0
         const val SERVICE_SILENCE_FACTOR = 2.0
+
+        /** A target that crashes as it begins an answer may still send the first event. */
+        const val EVENTS_OF_BEGUN_ANSWER = 2
         const val FIRST_SERVER_ERROR = 500
         const val MAX_IDLE_MILLISECONDS = 4_000L
         const val MAX_IDLE_AT_MOST_ONCE_MILLISECONDS = 500L
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import toucanrelay.core.overload.OrganisationUsage
 import toucanrelay.core.overload.RetryDelay
+import toucanrelay.core.quarantine.PartCondition
+import toucanrelay.core.quarantine.PromptPartQuarantine
 import toucanrelay.core.retry.AttemptState
 import toucanrelay.core.retry.NextStep
 import toucanrelay.core.retry.NextStepPolicy
@@ -30,6 +32,8 @@
     val outputEstimates: OutputEstimates,
     val retryBudgets: RetryBudgets,
     val silenceDetector: SilenceDetector,
+    val quarantine: PromptPartQuarantine,
+    val crashDetector: CrashDetector,
     val meters: GatewayMeters,
     val log: EventLog,
     val random: Random,
@@ -80,21 +84,42 @@
 
     private suspend fun attemptUntilAnswered() {
         while (true) {
+            reasonNotToSend()?.let { return endUnplaced(it) }
             val reservation = dependencies.admission.place(request, progress.tried).getOrElse { return endUnplaced(it) }
-            if (!dependencies.intake.isKeyCurrent(request.organisation)) {
+            reasonNotToSend()?.let {
                 reservation.release()
-                return endUnplaced(Refusal.STALE_CONFIGURATION)
+                return endUnplaced(it)
             }
             val result = attempt(reservation)
             if (result is AttemptResult.Unanswered) {
+                if (result.isBrokenOffEarly) dependencies.crashDetector.recordBrokenOff(request, reservation)
                 if (!continueAfter(result)) return
             } else {
+                dependencies.quarantine.recordAnswer(request.sharedPartIds)
                 if (request.lastEventId == null) dependencies.outputEstimates.recordOutput(request, progress.events)
                 return end("answered")
             }
         }
     }
 
+    /** Returns why the request must not be sent to a target now, or null if it may be sent. */
+    private fun reasonNotToSend(): Refusal? {
+        val part = dependencies.quarantine.quarantinedPart(request.sharedPartIds)
+        if (part != null) {
+            progress.detail = describeQuarantine(part)
+            return Refusal.QUARANTINED_PROMPT
+        }
+        return Refusal.STALE_CONFIGURATION.takeIf { !dependencies.intake.isKeyCurrent(request.organisation) }
+    }
+
+    private fun describeQuarantine(part: String): String {
+        val crashed =
+            dependencies.quarantine
+                .evidenceOn(part)
+                .unrefutedCrashes.keys
+        return "prompt part $part crashed ${crashed.joinToString { it.target.value }}"
+    }
+
     private suspend fun attempt(reservation: Reservation): AttemptResult {
         recordPlacement(reservation)
         val speed = request.prompt?.let { dependencies.placer.speedOf(request.service, null) }
@@ -131,7 +156,7 @@
         }
         progress.isAtTarget = false
         val step =
-            NextStepPolicy.decide(result.outcome, attemptState()) {
+            NextStepPolicy.decide(result.outcome, attemptState(result)) {
                 retryBudget.tryAcquire(dependencies.retryBudgets.fleetSize)
             }
         if (step == NextStep.RETRY) {
@@ -151,15 +176,20 @@
         return false
     }
 
-    private fun attemptState() =
+    private fun attemptState(result: AttemptResult.Unanswered) =
         AttemptState(
-            mayRunAgain = request.route.mayRunAgain,
+            mayRunAgain = request.route.mayRunAgain && !wouldRiskCrash(result),
             mayHaveRun = progress.mayHaveRun,
             attempts = progress.attempts,
             maxAttempts = request.route.maxAttempts,
             remainingMilliseconds = request.deadlineAtMilliseconds - dependencies.clock.nowMilliseconds(),
         )
 
+    /** Returns whether the request may have crashed its target and targets have crashed on its prompt before. */
+    private fun wouldRiskCrash(result: AttemptResult.Unanswered): Boolean =
+        result.isBrokenOffEarly &&
+            dependencies.quarantine.worstCondition(request.sharedPartIds) != PartCondition.SOUND
+
     private fun endAfter(step: NextStep, result: AttemptResult.Unanswered) {
         val failure = result.failure
         when {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
@@ -46,6 +46,9 @@
     val rank: Int
         get() = organisation?.rank ?: route.rank
 
+    /** Ids of the prompt parts that other requests may share with this one. */
+    val sharedPartIds: List<String> = prompt?.sharedParts?.map { it.id }.orEmpty()
+
     /** Identifies the organisation and the regions under which the request's use of the engines is counted. */
     val usageKey: UsageKey
         get() = UsageKey(account, allowedRegions())
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -60,6 +60,32 @@
     @ProtoNumber(2) val ageMilliseconds: Long,
 )
 
+/**
+ * Crash of a run of a target.
+ *
+ * @property agoMilliseconds time since the crash, on the sending member's clock.
+ */
+@Serializable
+internal class CrashEntry(
+    @ProtoNumber(1) val target: String,
+    @ProtoNumber(2) val incarnation: Long,
+    @ProtoNumber(3) val host: String,
+    @ProtoNumber(4) val port: Int,
+    @ProtoNumber(5) val agoMilliseconds: Long,
+)
+
+/**
+ * Evidence on a prompt part that may crash targets.
+ *
+ * @property answeredAgoMilliseconds time since a target last wrote an answer on it; null if none is known.
+ */
+@Serializable
+internal class PartEvidenceEntry(
+    @ProtoNumber(1) val part: String,
+    @ProtoNumber(2) val crashes: List<CrashEntry> = emptyList(),
+    @ProtoNumber(3) val answeredAgoMilliseconds: Long? = null,
+)
+
 /**
  * Summary of a member's state, which it sends to the others several times per second.
  *
@@ -81,5 +107,6 @@
     @ProtoNumber(8) val failureDomain: String = "",
     @ProtoNumber(9) val tables: List<TableAgeEntry> = emptyList(),
     @ProtoNumber(10) val servedByRegion: List<RegionServedEntry> = emptyList(),
+    @ProtoNumber(11) val partEvidence: List<PartEvidenceEntry> = emptyList(),
     @ProtoNumber(12) val isReady: Boolean = true,
 )
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
@@ -33,6 +33,7 @@
  * @property readinessAddress `host:port` at which the load balancer probes whether the process is ready.
  * @property memberPorts first and last port for traffic between instances; the same on every instance.
  * @property storeAddress `host:port` of the platform's store.
+ * @property releasedPromptParts ids of prompt parts that operators declare sound when the settings are reloaded.
  * @property maxDescriptors number of files and sockets that the process may have open.
  */
 @Serializable
@@ -47,6 +48,7 @@
     public val storeAddress: String,
     public val bounds: Bounds,
     public val maxDescriptors: Int = DEFAULT_MAX_DESCRIPTORS,
+    public val releasedPromptParts: List<String> = emptyList(),
 ) {
     /** Identifier of this instance. */
     public val instanceId: InstanceId
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
@@ -24,9 +24,14 @@
 internal sealed class TargetFailure(
     message: String,
 ) : Exception(message) {
-    /** No connection could be established, so nothing was sent. */
+    /**
+     * No connection could be established, so nothing was sent.
+     *
+     * @property isRefused whether the target's instance responded that nothing listens at the address.
+     */
     class NotSent(
         message: String,
+        val isRefused: Boolean = false,
     ) : TargetFailure(message)
 
     /** The connection failed after the request may have been sent and before an answer arrived. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnections.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnections.kt
@@ -1,11 +1,13 @@
 package toucanrelay.gateway.target
 
+import io.netty.channel.ConnectTimeoutException
 import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpConnectOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.Clock
+import java.net.ConnectException
 
 /** Pool of the connections of this process to one target. */
 internal class TargetConnections(
@@ -30,6 +32,13 @@
         return connect()
     }
 
+    /**
+     * Opens a connection and keeps it for a later request; throws [TargetFailure.NotSent] if that fails.
+     */
+    suspend fun open() {
+        idle.addLast(connect())
+    }
+
     /** Returns a connection whose last answer was read completely to the pool. */
     fun release(connection: TargetConnection) {
         connection.markIdle()
@@ -62,7 +71,8 @@
         } catch (cancelled: CancellationException) {
             throw cancelled
         } catch (failure: Exception) {
-            throw TargetFailure.NotSent(failure.message ?: failure.javaClass.simpleName)
+            val isRefused = failure is ConnectException && failure !is ConnectTimeoutException
+            throw TargetFailure.NotSent(failure.message ?: failure.javaClass.simpleName, isRefused)
         }
     }
 
