Go on serving when the store returns to an earlier copy

Read in the code and shown by a test: a gateway took the lower version for an outdated copy and never applied anything again, so that after the revocation bound it refused every keyed request.

Versions are now pairs of era and number, in reads and between members. It writes its own row again. A copy that a member offers and that turns out not to be newer is no longer asked for in a loop.

--- a/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
@@ -25,6 +25,7 @@
     private var targets = persistentMapOf<TargetId, RegisteredTarget>()
     private var outageEndedAtMilliseconds: Long? = null
     private var pendingRemovals = 0
+    private val removedRuns = LinkedHashMap<TargetId, Incarnation>()
     private var servingLists = HashMap<ServingKey, List<RegisteredTarget>>()
 
     private data class ServingKey(
@@ -102,16 +103,30 @@
         }
     }
 
+    /** Returns whether the run [incarnation] of [id] was removed a short time ago. */
+    public fun wasRemoved(id: TargetId, incarnation: Incarnation): Boolean = removedRuns[id] == incarnation
+
     private fun replace(next: PersistentMap<TargetId, RegisteredTarget>) {
         if (next === targets) return
+        (targets.keys - next.keys).forEach { rememberRemoved(targets.getValue(it)) }
         targets = next
         pendingRemovals = next.values.count { it.removedAtMilliseconds != null }
         servingLists.clear()
     }
 
+    private fun rememberRemoved(target: RegisteredTarget) {
+        removedRuns.remove(target.registration.id)
+        removedRuns[target.registration.id] = target.registration.incarnation
+        if (removedRuns.size > MAX_REMOVED_RUNS) removedRuns.remove(removedRuns.keys.first())
+    }
+
     private fun mayHaveExpired(now: Long): Boolean =
         outageEndedAtMilliseconds?.let { now - it <= expiryGraceMilliseconds } ?: false
 
     private fun isRemoved(target: RegisteredTarget, now: Long): Boolean =
         target.removedAtMilliseconds?.let { now - it > expiryGraceMilliseconds } ?: false
+
+    private companion object {
+        const val MAX_REMOVED_RUNS = 1_000
+    }
 }
--- a/core/src/test/kotlin/toucanrelay/core/target/TargetRegistryTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/target/TargetRegistryTest.kt
@@ -60,6 +60,17 @@
             }
         }
 
+        describe("a removed run of a target") {
+            it("is remembered, and not taken for a later run") {
+                val registry = newRegistry()
+                registry.register(registration(incarnation = 2))
+                registry.wasRemoved(ID, Incarnation(2)) shouldBe false
+                registry.remove(ID)
+                registry.wasRemoved(ID, Incarnation(2)) shouldBe true
+                registry.wasRemoved(ID, Incarnation(3)) shouldBe false
+            }
+        }
+
         describe("registrations that expire during a store outage") {
             it("remain in use until the grace period is over") {
                 val clock = ManualClock()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -60,7 +60,7 @@
             failureDomain = components.settings.failureDomain,
             tables =
                 components.tableCopies.mapNotNull { (table, copy) ->
-                    copy.ageMilliseconds?.let { TableAgeEntry(table, it) }
+                    copy.ageMilliseconds?.let { TableAgeEntry(table, it, copy.version?.era ?: 0) }
                 },
             servedByRegion = servedByRegion(),
             isReady = isReady(),
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Membership.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Membership.kt
@@ -7,6 +7,7 @@
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.platform.MemberRegistration
 import toucanrelay.platform.MemberTable
+import kotlin.random.Random
 
 /** Registers this process as a member of the fleet, reads the other members and removes expired registrations. */
 internal class Membership(
@@ -19,13 +20,34 @@
     suspend fun run() {
         val address = TargetAddress(components.settings.address, components.settings.memberPort)
         val self = MemberRegistration(components.settings.instanceId, Incarnation(incarnation), address)
-        while (table.register(self).isErr) delay(REGISTER_RETRY_MILLISECONDS)
+        while (true) {
+            val era = currentEra()
+            while (table.register(self).isErr) delay(REGISTER_RETRY_MILLISECONDS)
+            readUntilRestored(era)
+            delay(Random.nextLong(MAX_REGISTER_DELAY_MILLISECONDS))
+        }
+    }
+
+    /** Reads the members periodically and returns when the store was restored after [era], which may lose the row. */
+    private suspend fun readUntilRestored(era: Long?) {
+        var registeredEra = era
         while (true) {
             table.read().onSuccess { applyRegistrations(it) }
-            delay(READ_PERIOD_MILLISECONDS)
+            repeat(ERA_CHECKS_PER_READ) {
+                delay(ERA_CHECK_PERIOD_MILLISECONDS)
+                val current = currentEra()
+                if (registeredEra != null && current != null && current > registeredEra) return
+                registeredEra = registeredEra ?: current
+            }
         }
     }
 
+    /** Returns the highest era of the store that this process knows of; null before it has read any table. */
+    private fun currentEra(): Long? =
+        components.tableCopies.values
+            .mapNotNull { it.version?.era }
+            .maxOrNull()
+
     private suspend fun applyRegistrations(registered: List<MemberRegistration>) {
         registered.forEach { components.fleet.recordRegistration(it.instance, it.incarnation.value, it.address) }
         if (components.fleet.readerRank() == 0) registered.filter { isExpired(it) }.forEach { remove(it) }
@@ -51,7 +73,11 @@
         const val REGISTER_RETRY_MILLISECONDS = 500L
 
         /** Long, since each member reads right after it registers, so that of any two the later finds the earlier. */
-        const val READ_PERIOD_MILLISECONDS = 30_000L
+        const val ERA_CHECKS_PER_READ = 60
+        const val ERA_CHECK_PERIOD_MILLISECONDS = 500L
+
+        /** Spreads the writes of all members after a restore. */
+        const val MAX_REGISTER_DELAY_MILLISECONDS = 1_000L
         const val REMOVE_AFTER_MILLISECONDS = 600_000L
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
@@ -6,7 +6,6 @@
 import toucanrelay.gateway.target.TargetPool
 import toucanrelay.platform.OperatorEntry
 import toucanrelay.platform.OperatorTable
-import toucanrelay.platform.StoreRow
 
 /** Applies the configuration and the failure domains that are out of service. */
 internal class FollowedOperators(
@@ -19,11 +18,11 @@
     override val isUrgent: Boolean
         get() = register.current == null
 
-    override fun apply(rows: List<StoreRow>, isWhole: Boolean, confirmedAtMilliseconds: Long) {
-        val entries = OperatorTable.decode(rows)
+    override fun apply(change: TableChange) {
+        val entries = OperatorTable.decode(change.rows)
         entries.filterIsInstance<OperatorEntry.NewConfiguration>().forEach { applyConfiguration(it) }
-        applyFailureDomains(entries.filterIsInstance<OperatorEntry.FailureDomainStatus>(), isWhole)
-        if (register.current != null) register.confirm(confirmedAtMilliseconds)
+        applyFailureDomains(entries.filterIsInstance<OperatorEntry.FailureDomainStatus>(), change.isWhole)
+        if (register.current != null) change.confirmedAtMilliseconds?.let { register.confirm(it) }
     }
 
     override fun recordOutageEnd(agoMilliseconds: Long) = Unit
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTable.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTable.kt
@@ -1,7 +1,5 @@
 package toucanrelay.gateway.follow
 
-import toucanrelay.platform.StoreRow
-
 /** Applies changes of one table of the store to the state of this process. */
 internal interface FollowedTable {
     /** The table's name in logs and between members. */
@@ -13,8 +11,8 @@
     /** Whether the process cannot serve requests with its present copy of the table. */
     val isUrgent: Boolean
 
-    /** Applies [rows], which were current at [confirmedAtMilliseconds] and are all rows of the table if [isWhole]. */
-    fun apply(rows: List<StoreRow>, isWhole: Boolean, confirmedAtMilliseconds: Long)
+    /** Applies [change]. */
+    fun apply(change: TableChange)
 
     /** Records that an outage of the store ended [agoMilliseconds] ago. */
     fun recordOutageEnd(agoMilliseconds: Long)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
@@ -4,7 +4,6 @@
 import toucanrelay.core.target.TargetRegistry
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.platform.RegistrationChange
-import toucanrelay.platform.StoreRow
 import toucanrelay.platform.TargetTable
 
 /** Applies the registrations of targets. */
@@ -18,14 +17,20 @@
     override val isUrgent: Boolean
         get() = registry.currentTargets().isEmpty()
 
-    override fun apply(rows: List<StoreRow>, isWhole: Boolean, confirmedAtMilliseconds: Long) {
-        val entries = TargetTable.decode(rows)
+    override fun apply(change: TableChange) {
+        val (restored, written) = change.rows.partition { change.isRestored(it) }
+        val entries = TargetTable.decode(written) + TargetTable.decode(restored).filter { !isGone(it) }
         val registered = entries.filterIsInstance<RegistrationChange.Registered>().map { it.registration }
         registered.forEach { logRegistration(it) }
-        if (isWhole) registry.replaceAll(registered) else applyChanges(entries)
+        if (change.isWhole) registry.replaceAll(registered) else applyChanges(entries)
         if (entries.isNotEmpty()) onChange()
     }
 
+    /** Returns whether [change] registers a run of a target whose removal this process has seen. */
+    private fun isGone(change: RegistrationChange): Boolean =
+        change is RegistrationChange.Registered &&
+            registry.wasRemoved(change.registration.id, change.registration.incarnation)
+
     override fun recordOutageEnd(agoMilliseconds: Long) {
         registry.recordOutageEnd(agoMilliseconds)
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopy.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopy.kt
@@ -2,6 +2,7 @@
 
 import toucanrelay.core.time.Clock
 import toucanrelay.platform.StoreRow
+import toucanrelay.platform.StoreVersion
 
 /**
  * This process's copy of a table of the store, which it also serves to other members; confined to the event loop.
@@ -14,22 +15,30 @@
     private val clock: Clock,
 ) {
     private val rows = HashMap<String, StoreRow>()
-    private var confirmedAtMilliseconds = 0L
+
+    /** Time at which the rows were last confirmed to match the store; meaningless before the first update. */
+    var confirmedAtMilliseconds = 0L
+        private set
     private var outageEndedAtMilliseconds: Long? = null
-    private var historyStartVersion = 0L
+    private var historyStartNumber = 0L
 
     /** Version of the store to which the copy is up to date; null before the first update. */
-    var version: Long? = null
+    var version: StoreVersion? = null
         private set
 
+    /** The existing rows. */
+    val existingRows: List<StoreRow>
+        get() = rows.values.filter { it.value != null }
+
     /** Time since the copy was last confirmed to match the store; null before the first update. */
     val ageMilliseconds: Long?
         get() = version?.let { clock.nowMilliseconds() - confirmedAtMilliseconds }
 
-    /** Applies [update] and returns true, or returns false if the copy is newer. */
+    /** Applies [update] and returns true, or returns false if the copy is newer or the update continues another era. */
     fun apply(update: TableUpdate): Boolean {
         val known = version
         if (known != null && update.version < known) return false
+        if (known != null && !update.isWhole && update.version.era != known.era) return false
         if (update.isWhole) replaceAll(update) else update.rows.forEach { rows[it.key] = it }
         dropOldestDeletedRows()
         version = update.version
@@ -44,19 +53,20 @@
         outageEndedAtMilliseconds = maxOf(endedAt, outageEndedAtMilliseconds ?: Long.MIN_VALUE)
     }
 
-    /** Returns the changes after [after], or all rows if it is null or too old; null before the first update. */
-    fun updateSince(after: Long?): TableUpdate? {
+    /** Returns the changes after [after], or all rows if it is null, too old or of another era; null before any update. */
+    fun updateSince(after: StoreVersion?): TableUpdate? {
         val known = version ?: return null
-        val isWhole = after == null || after < historyStartVersion
-        val missing = rows.values.filter { if (isWhole) it.value != null else it.version > checkNotNull(after) }
+        val isContinuation = after != null && after.era == known.era && after.number >= historyStartNumber
+        val missing =
+            if (isContinuation) rows.values.filter { it.version > checkNotNull(after).number } else existingRows
         val outageEnded = outageEndedAtMilliseconds?.let { clock.nowMilliseconds() - it }
-        return TableUpdate(missing, known, isWhole, confirmedAtMilliseconds, outageEnded)
+        return TableUpdate(missing, known, isWhole = !isContinuation, confirmedAtMilliseconds, outageEnded)
     }
 
     private fun replaceAll(update: TableUpdate) {
         rows.clear()
         update.rows.forEach { rows[it.key] = it }
-        historyStartVersion = update.version
+        historyStartNumber = update.version.number
     }
 
     private fun dropOldestDeletedRows() {
@@ -64,7 +74,7 @@
         if (deleted.size <= MAX_DELETED_ROWS) return
         deleted.sortedBy { it.version }.take(deleted.size - MAX_DELETED_ROWS).forEach { row ->
             rows.remove(row.key)
-            historyStartVersion = maxOf(historyStartVersion, row.version)
+            historyStartNumber = maxOf(historyStartNumber, row.version)
         }
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopyExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopyExchange.kt
@@ -22,6 +22,7 @@
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.Clock
 import toucanrelay.platform.StoreRow
+import toucanrelay.platform.StoreVersion
 
 /** A row in a [TableAnswer]; null as [value] means that the row was deleted. */
 @Serializable
@@ -34,6 +35,7 @@
 /**
  * A member's response to a request for a table.
  *
+ * @property version number of the version in [era].
  * @property ageMilliseconds time from when the rows were current until the response, on the member's clock.
  * @property outageEndedMillisecondsAgo as in [TableUpdate].
  */
@@ -44,6 +46,7 @@
     @ProtoNumber(3) val isWhole: Boolean,
     @ProtoNumber(4) val rows: List<RowEntry> = emptyList(),
     @ProtoNumber(5) val outageEndedMillisecondsAgo: Long? = null,
+    @ProtoNumber(6) val era: Long = 0,
 )
 
 /** Serves this process's copies of tables to other members over HTTP. */
@@ -62,7 +65,8 @@
     }
 
     private fun answer(request: HttpServerRequest) {
-        val after = request.getParam(AFTER_PARAMETER)?.toLongOrNull()
+        val era = request.getParam(ERA_PARAMETER)?.toLongOrNull() ?: 0
+        val after = request.getParam(AFTER_PARAMETER)?.toLongOrNull()?.let { StoreVersion(era, it) }
         val update = copies[request.path().removePrefix(PATH)]?.updateSince(after)
         if (update == null) {
             request.response().setStatusCode(STATUS_NOT_FOUND).end()
@@ -73,7 +77,8 @@
 
     private fun answerOf(update: TableUpdate) =
         TableAnswer(
-            version = update.version,
+            version = update.version.number,
+            era = update.version.era,
             ageMilliseconds = clock.nowMilliseconds() - update.confirmedAtMilliseconds,
             isWhole = update.isWhole,
             rows = update.rows.map { RowEntry(it.key, it.version, it.value) },
@@ -86,6 +91,9 @@
 
         /** Query parameter with the version of the requesting member's copy. */
         const val AFTER_PARAMETER = "after"
+
+        /** Query parameter with the era of that version; zero by default. */
+        const val ERA_PARAMETER = "era"
         private const val STATUS_NOT_FOUND = 404
         private const val IDLE_TIMEOUT_SECONDS = 30
     }
@@ -104,9 +112,12 @@
      *
      * The error describes why the read failed.
      */
-    suspend fun read(address: TargetAddress, table: String, after: Long?): Result<TableUpdate, String> {
+    suspend fun read(address: TargetAddress, table: String, after: StoreVersion?): Result<TableUpdate, String> {
         val requestedAt = clock.nowMilliseconds()
-        val query = if (after == null) "" else "?${TableCopyServer.AFTER_PARAMETER}=$after"
+        val query =
+            after
+                ?.let { "?${TableCopyServer.AFTER_PARAMETER}=${it.number}&${TableCopyServer.ERA_PARAMETER}=${it.era}" }
+                .orEmpty()
         val options =
             RequestOptions()
                 .setMethod(HttpMethod.GET)
@@ -138,7 +149,7 @@
     private fun updateOf(answer: TableAnswer, requestedAt: Long) =
         TableUpdate(
             rows = answer.rows.map { StoreRow(it.key, it.value, it.version) },
-            version = answer.version,
+            version = StoreVersion(answer.era, answer.version),
             isWhole = answer.isWhole,
             confirmedAtMilliseconds = requestedAt - answer.ageMilliseconds,
             outageEndedMillisecondsAgo = answer.outageEndedMillisecondsAgo,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableFollower.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableFollower.kt
@@ -13,6 +13,7 @@
 import toucanrelay.gateway.member.TableOffer
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.platform.StoreError
+import toucanrelay.platform.StoreVersion
 import toucanrelay.platform.TableReader
 
 /** Keeps the copy of one table up to date, from the store or from other members that read it. */
@@ -28,11 +29,13 @@
     private var storeLostAtMilliseconds: Long? = null
     private var failures = 0
     private var lastStoreCallAtMilliseconds: Long? = null
+    private val restore = RestoreSettling(clock)
 
     /** Refreshes the copy until the coroutine is cancelled. */
     suspend fun run() {
         while (true) {
-            val offer = fleet.bestOffer(table.name)
+            if (restore.hasSettled()) applyRestored()
+            val offer = fleet.bestOffer(table.name, copy.version?.era ?: 0)
             when (RefreshPolicy.decide(refreshState(offer))) {
                 RefreshAction.READ_STORE -> readStore()
                 RefreshAction.READ_MEMBER -> offer?.let { readMember(it) }
@@ -52,7 +55,7 @@
         )
 
     /** Reads the changes after version [after], or all rows if [after] is null or older than the store's history. */
-    private suspend fun readStore(after: Long? = copy.version) {
+    private suspend fun readStore(after: StoreVersion? = copy.version) {
         val requestedAt = clock.nowMilliseconds()
         val answer =
             if (after == null) store.rows(table.nameInStore) else store.changes(table.nameInStore, after)
@@ -110,15 +113,44 @@
             .read(address, table.name, copy.version)
             .onSuccess { update ->
                 update.outageEndedMillisecondsAgo?.let { table.recordOutageEnd(it) }
-                apply(update)
+                if (!apply(update)) fleet.recordFailedOffer(offer)
             }.onFailure { detail ->
                 fleet.recordFailedOffer(offer)
                 log.write("member-silent", "table" to table.name, "member" to offer.instance, "detail" to detail)
             }
     }
 
-    private fun apply(update: TableUpdate) {
-        if (copy.apply(update)) table.apply(update.rows, update.isWhole, update.confirmedAtMilliseconds)
+    /** Applies [update] and returns true, or returns false if the copy is newer. */
+    private fun apply(update: TableUpdate): Boolean {
+        val previous = copy.version
+        if (!copy.apply(update)) return false
+        if (previous != null && update.version.era > previous.era) recordRestore(previous, update)
+        when {
+            !restore.isSettling -> {
+                table.apply(
+                    TableChange(update.rows, update.isWhole, update.confirmedAtMilliseconds, restore.restoredNumber),
+                )
+            }
+
+            !update.isWhole -> {
+                table.apply(TableChange(update.rows, isWhole = false, null, restore.restoredNumber))
+            }
+        }
+        return true
+    }
+
+    /** Keeps the process's state for now, since what the store lost is written again shortly after the restore. */
+    private fun recordRestore(previous: StoreVersion, update: TableUpdate) {
+        restore.begin(update.version.number)
+        table.recordOutageEnd(0)
+        log.write("store-restored", "table" to table.name, "version" to previous, "restoredVersion" to update.version)
+    }
+
+    private fun applyRestored() {
+        restore.end()
+        table.apply(
+            TableChange(copy.existingRows, isWhole = true, copy.confirmedAtMilliseconds, restore.restoredNumber),
+        )
     }
 
     private fun recordFailure(error: StoreError, requestedAt: Long) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableUpdate.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableUpdate.kt
@@ -1,6 +1,7 @@
 package toucanrelay.gateway.follow
 
 import toucanrelay.platform.StoreRow
+import toucanrelay.platform.StoreVersion
 
 /**
  * Rows of a table that were read from the store or from another member.
@@ -12,7 +13,7 @@
  */
 internal class TableUpdate(
     val rows: List<StoreRow>,
-    val version: Long,
+    val version: StoreVersion,
     val isWhole: Boolean,
     val confirmedAtMilliseconds: Long,
     val outageEndedMillisecondsAgo: Long?,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -103,9 +103,13 @@
         return 2 * ready >= others.size + 1
     }
 
-    /** Returns the freshest copy of [table] that a live member offers; prefers a slightly older one in this region. */
-    fun bestOffer(table: String): TableOffer? =
-        members.mapNotNull { offerOf(it, table) }.minByOrNull { it.ageMilliseconds }
+    /**
+     * Returns the freshest copy of [table] that a live member offers; prefers a slightly older one in this region.
+     *
+     * @param minEra era of the store below which copies are outdated, however recently they were read.
+     */
+    fun bestOffer(table: String, minEra: Long = 0): TableOffer? =
+        members.mapNotNull { offerOf(it, table, minEra) }.minByOrNull { it.ageMilliseconds }
 
     /** Records that reading [offer] failed; offers of the same member are ignored for a while. */
     fun recordFailedOffer(offer: TableOffer) {
@@ -114,11 +118,11 @@
     }
 
     /** Returns the member's offer of [table], with a penalty on its age if the member is in another region. */
-    private fun offerOf(entry: Map.Entry<InstanceId, Member>, table: String): TableOffer? {
+    private fun offerOf(entry: Map.Entry<InstanceId, Member>, table: String, minEra: Long): TableOffer? {
         val (instance, member) = entry
         val now = clock.nowMilliseconds()
         if (!isLive(member) || now < member.offersIgnoredUntilMilliseconds) return null
-        val offered = member.digest?.tables?.find { it.table == table } ?: return null
+        val offered = member.digest?.tables?.find { it.table == table && it.era >= minEra } ?: return null
         val age = offered.ageMilliseconds + now - member.lastSeenAtMilliseconds
         val penalty = if (isInOwnRegion(member)) 0 else OTHER_REGION_PENALTY_MILLISECONDS
         return TableOffer(instance, member.address, age + penalty)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -53,11 +53,12 @@
     @ProtoNumber(2) val served: Int,
 )
 
-/** Age of a member's copy of a table of the store. */
+/** Age of a member's copy of a table of the store, and the era of the store that it was read in. */
 @Serializable
 internal class TableAgeEntry(
     @ProtoNumber(1) val table: String,
     @ProtoNumber(2) val ageMilliseconds: Long,
+    @ProtoNumber(3) val era: Long = 0,
 )
 
 /**
--- a/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableCopyTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableCopyTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.shouldBe
 import toucanrelay.core.time.ManualClock
 import toucanrelay.platform.StoreRow
+import toucanrelay.platform.StoreVersion
 
 private fun row(key: String, version: Long) = StoreRow(key, "value".toByteArray(), version)
 
@@ -17,11 +18,14 @@
     isWhole: Boolean = false,
     at: Long = 0,
     outage: Long? = null,
-) = TableUpdate(rows.toList(), version, isWhole, at, outage)
+    era: Long = 0,
+) = TableUpdate(rows.toList(), StoreVersion(era, version), isWhole, at, outage)
 
 class TableCopyTest :
     DescribeSpec({
-        fun TableCopy.keysAfter(version: Long?) = checkNotNull(updateSince(version)).rows.map { it.key }
+        fun TableCopy.since(number: Long?, era: Long = 0) = updateSince(number?.let { StoreVersion(era, it) })
+
+        fun TableCopy.keysAfter(number: Long?) = checkNotNull(since(number)).rows.map { it.key }
 
         describe("a copy of a table") {
             it("has no rows and no age before the first update") {
@@ -34,8 +38,8 @@
                 copy.apply(update(10, row("a", 3), row("b", 7), isWhole = true))
                 copy.apply(update(20, deleted("a", 15), row("c", 18)))
                 copy.keysAfter(12) shouldContainExactlyInAnyOrder listOf("a", "c")
-                copy.updateSince(12).shouldNotBeNull().isWhole shouldBe false
-                copy.updateSince(12).shouldNotBeNull().version shouldBe 20
+                copy.since(12).shouldNotBeNull().isWhole shouldBe false
+                copy.since(12).shouldNotBeNull().version shouldBe StoreVersion(0, 20)
             }
 
             it("returns all existing rows for no version or one older than the copy's first update") {
@@ -44,7 +48,7 @@
                 copy.apply(update(20, deleted("a", 15), row("c", 18)))
                 listOf(null, 5L).forEach { known ->
                     copy.keysAfter(known) shouldBe listOf("c")
-                    copy.updateSince(known).shouldNotBeNull().isWhole shouldBe true
+                    copy.since(known).shouldNotBeNull().isWhole shouldBe true
                 }
             }
 
@@ -58,12 +62,32 @@
                 copy.ageMilliseconds shouldBe 1_000
             }
 
+            it("takes over a lower version number of a later era, and no changes that continue another era") {
+                val copy = TableCopy(ManualClock())
+                copy.apply(update(20, row("a", 15), isWhole = true))
+                copy.apply(update(12, row("b", 11), era = 1)) shouldBe false
+                copy.apply(update(12, row("b", 11), isWhole = true, era = 1)) shouldBe true
+                copy
+                    .since(null)
+                    .shouldNotBeNull()
+                    .rows
+                    .map { it.key } shouldBe listOf("b")
+                copy.apply(update(30, row("a", 15), isWhole = true)) shouldBe false
+            }
+
+            it("returns all rows for a version of another era, although its number is known") {
+                val copy = TableCopy(ManualClock())
+                copy.apply(update(20, row("a", 15), isWhole = true, era = 1))
+                copy.since(20, era = 0).shouldNotBeNull().isWhole shouldBe true
+                copy.since(20, era = 1).shouldNotBeNull().isWhole shouldBe false
+            }
+
             it("passes on when an outage of the store ended") {
                 val clock = ManualClock()
                 val copy = TableCopy(clock)
                 copy.apply(update(20, isWhole = true, outage = 300))
                 clock.advance(200)
-                copy.updateSince(20).shouldNotBeNull().outageEndedMillisecondsAgo shouldBe 500
+                copy.since(20).shouldNotBeNull().outageEndedMillisecondsAgo shouldBe 500
             }
 
             it("keeps a bounded number of deletions, and returns all rows if one after the version was dropped") {
@@ -71,8 +95,8 @@
                 copy.apply(update(1, isWhole = true))
                 val deletions = (2L..700L).map { deleted("key-$it", it) }
                 copy.apply(update(700, *deletions.toTypedArray()))
-                copy.updateSince(150).shouldNotBeNull().isWhole shouldBe true
-                copy.updateSince(300).shouldNotBeNull().isWhole shouldBe false
+                copy.since(150).shouldNotBeNull().isWhole shouldBe true
+                copy.since(300).shouldNotBeNull().isWhole shouldBe false
                 copy.keysAfter(300).size shouldBe 400
             }
         }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableFollowerTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableFollowerTest.kt
@@ -27,6 +27,7 @@
 import toucanrelay.platform.StoreError
 import toucanrelay.platform.StoreRow
 import toucanrelay.platform.StoreRows
+import toucanrelay.platform.StoreVersion
 import toucanrelay.platform.TableReader
 import java.net.ServerSocket
 
@@ -38,16 +39,16 @@
 private object RefusingStore : TableReader {
     override suspend fun rows(table: String): Result<StoreRows, StoreError> = Err(StoreError.Refused(503))
 
-    override suspend fun changes(table: String, version: Long): Result<StoreRows, StoreError> =
+    override suspend fun changes(table: String, version: StoreVersion): Result<StoreRows, StoreError> =
         Err(StoreError.Refused(503))
 }
 
 private class ReadableStore : TableReader {
     override suspend fun rows(table: String): Result<StoreRows, StoreError> =
-        Ok(StoreRows(listOf(StoreRow("key", "value".toByteArray(), 5)), 7))
+        Ok(StoreRows(listOf(StoreRow("key", "value".toByteArray(), 5)), StoreVersion(0, 7)))
 
-    override suspend fun changes(table: String, version: Long): Result<StoreRows, StoreError> =
-        Ok(StoreRows(emptyList(), version + 1))
+    override suspend fun changes(table: String, version: StoreVersion): Result<StoreRows, StoreError> =
+        Ok(StoreRows(emptyList(), version.copy(number = version.number + 1)))
 }
 
 private class RecordedTable : FollowedTable {
@@ -58,9 +59,9 @@
     var confirmedAtMilliseconds: Long? = null
     var outageEndedMillisecondsAgo: Long? = null
 
-    override fun apply(rows: List<StoreRow>, isWhole: Boolean, confirmedAtMilliseconds: Long) {
-        rows.forEach { keys += it.key }
-        this.confirmedAtMilliseconds = confirmedAtMilliseconds
+    override fun apply(change: TableChange) {
+        change.rows.forEach { keys += it.key }
+        confirmedAtMilliseconds = change.confirmedAtMilliseconds
     }
 
     override fun recordOutageEnd(agoMilliseconds: Long) {
@@ -106,7 +107,7 @@
                 val confirmedAt = clock.nowMilliseconds() - MEMBER_COPY_AGE_MILLISECONDS
                 follow(RefusingStore, port, confirmedAt) { table, copy ->
                     table.keys shouldBe listOf("key")
-                    copy.version shouldBe 7
+                    copy.version shouldBe StoreVersion(0, 7)
                     // The copy may count as older by the duration of the request, never as more recent.
                     confirmedAt shouldBeGreaterThanOrEqualTo table.confirmedAtMilliseconds.shouldNotBeNull()
                     table.confirmedAtMilliseconds.shouldNotBeNull() shouldBeGreaterThanOrEqualTo
@@ -127,6 +128,6 @@
     val clock = MonotonicClock
     val copy = TableCopy(clock)
     val rows = listOf(StoreRow("key", "value".toByteArray(), 5))
-    copy.apply(TableUpdate(rows, 7, isWhole = true, confirmedAt, outageEndedMillisecondsAgo = null))
+    copy.apply(TableUpdate(rows, StoreVersion(0, 7), isWhole = true, confirmedAt, outageEndedMillisecondsAgo = null))
     TableCopyServer(vertx, clock, mapOf("recorded" to copy)).listen(TargetAddress(LOOPBACK, port))
 }
