--- a/core/src/main/kotlin/toucanrelay/core/quarantine/PromptPartQuarantine.kt
+++ b/core/src/main/kotlin/toucanrelay/core/quarantine/PromptPartQuarantine.kt
@@ -38,14 +38,9 @@
     public fun recordAnswer(parts: Collection<String>) {
         val now = clock.nowMilliseconds()
         parts.forEach { part ->
-            answeredAtMilliseconds[part] = now
+            rememberAnswer(part, now)
             if (part in suspects) merge(part, PartEvidence(persistentMapOf(), now))
         }
-        while (answeredAtMilliseconds.size >
-            MAX_ANSWERS
-        ) {
-            answeredAtMilliseconds.remove(answeredAtMilliseconds.keys.first())
-        }
     }
 
     /** Adds [reported] evidence on [part], which another member shared. */
@@ -110,12 +105,9 @@
     }
 
     private fun rememberAnswer(part: String, at: Long) {
-        answeredAtMilliseconds.merge(part, at, ::maxOf)
-        if (answeredAtMilliseconds.size >
-            MAX_ANSWERS
-        ) {
-            answeredAtMilliseconds.remove(answeredAtMilliseconds.keys.first())
-        }
+        val answers = answeredAtMilliseconds
+        answers.merge(part, at, ::maxOf)
+        if (answers.size > MAX_ANSWERS) answers.remove(answers.keys.first())
     }
 
     private fun conditionOf(part: String): PartCondition {
