--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -30,11 +30,11 @@
     private val vertx: Vertx = Vertx.vertx(singleEventLoop()),
     log: EventLog = EventLog(MonotonicClock),
     loopLag: LoopLag = LoopLag(MonotonicClock),
-    private val startUp: StartUp = StartUp(MonotonicClock),
 ) {
     private val dispatcher = vertx.orCreateContext.dispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val components = GatewayComponents(settings, vertx, scope, log, loopLag)
+    private val startUp = StartUp(components.clock, components::isSpared)
     private val incarnation = EpochClock.nowMilliseconds()
     private val digestSender = DigestSender(components, incarnation, ::isReady)
     private val membership = Membership(components, incarnation)
@@ -57,7 +57,7 @@
             components.registerGauges()
             schedulePeriodic(DIGEST_SEND_PERIOD_MILLISECONDS) { digestSender.send() }
             schedulePeriodic(DIGEST_APPLY_PERIOD_MILLISECONDS) { digestSender.applyReceived() }
-            schedulePeriodic(LoopLag.PERIOD_MILLISECONDS) { components.recordTick() }
+            schedulePeriodic(LoopLag.PERIOD_MILLISECONDS) { recordTick() }
             schedulePeriodic(MEMBER_EXPIRY_PERIOD_MILLISECONDS) { components.fleet.expireSilent() }
             schedulePeriodic(SILENCE_CHECK_PERIOD_MILLISECONDS) { components.silenceDetector.abandonSilent() }
             schedulePeriodic(FAIR_SHARES_LOG_PERIOD_MILLISECONDS) { components.logFairShares() }
@@ -73,7 +73,7 @@
     val isServing: Boolean
         get() = components.server.active > 0
 
-    /** Whether the process is warmed up, or has had time enough for it. */
+    /** Whether the process takes its part of the load, as [StartUp] decides. */
     val hasStartedUp: Boolean
         get() = startUp.isComplete
 
@@ -133,6 +133,11 @@
         return isIdle || elapsed >= limit - KILL_MARGIN_MILLISECONDS
     }
 
+    private fun recordTick() {
+        components.recordTick()
+        startUp.update()
+    }
+
     private fun readiness(): PlainPage {
         return if (isReady()) PlainPage(STATUS_OK, "ready\n") else PlainPage(STATUS_UNAVAILABLE, "not ready\n")
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -116,12 +116,14 @@
             settings.maxCallerConnections,
         )
 
+    /** Returns whether enough other members of the failure domain are ready to take the callers of this process. */
+    fun isSpared(): Boolean = fleet.canReplaceSelf(FailureDomainId(settings.failureDomain))
+
     /** Measures the lag of the event loop and decides whether this process is overloaded. */
     fun recordTick() {
         loopLag.recordTick()
-        val isSpared = loopLag.isOverloaded && fleet.canReplaceSelf(FailureDomainId(settings.failureDomain))
         val wasWithdrawn = withdrawal.isWithdrawn
-        withdrawal.update(loopLag.isOverloaded, isSpared)
+        withdrawal.update(loopLag.isOverloaded, isSpared = loopLag.isOverloaded && isSpared())
         if (withdrawal.isWithdrawn && !wasWithdrawn) log.write("withdrawn", "loopLagMs" to loopLag.milliseconds)
     }
 
