--- a/gateway/src/main/kotlin/toucanrelay/gateway/StartUp.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/StartUp.kt
@@ -17,9 +17,6 @@
 ) {
     private val startedAtMilliseconds = clock.nowMilliseconds()
 
-    @Volatile
-    private var isWarm = false
-
     /** Whether the process is warmed up, has had time enough for it, or is needed before; stays true. */
     @Volatile
     var isComplete = false
@@ -29,12 +26,12 @@
     fun update() {
         val elapsed = clock.nowMilliseconds() - startedAtMilliseconds
         val isNeeded = elapsed >= MIN_MILLISECONDS && !isSpared()
-        if (isWarm || isNeeded || elapsed >= MAX_MILLISECONDS) isComplete = true
+        if (isNeeded || elapsed >= MAX_MILLISECONDS) isComplete = true
     }
 
     /** Records that the warm-up is complete. */
     fun recordWarm() {
-        isWarm = true
+        isComplete = true
     }
 
     private companion object {
