Divide the rate that a target states among the gateways that have its callers

The class of the fault: a bound on what the whole fleet sends to a target, which each process has to know and to keep in part. There was one such bound before, that of cold targets, divided evenly by ColdStartAllowance with whole requests per second. Both are now one rule: RateDivision divides a rate by the demand of the gateways, which digests carry, among as many senders as the window bears if each sends at once; RequestPacer spaces the requests; of several limits the tightest counts. Statements travel in digests with their age, and the newest counts: an answer without a limit counts from when its request was sent. Requests that wait for a limited rate are not overtaken, and what could not be sent within its wait is refused at once. A silent gateway's demand counts for 15 s more, since it may still send.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -1,5 +1,7 @@
 package toucanrelay.gateway
 
+import toucanrelay.core.allowance.LimitStatement
+import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.identity.TargetId
 import toucanrelay.core.placement.PromptPart
 import toucanrelay.core.target.TargetAddress
@@ -9,6 +11,8 @@
 import toucanrelay.gateway.member.PartEvidenceExchange
 import toucanrelay.gateway.member.PromptReadEntry
 import toucanrelay.gateway.member.RegionServedEntry
+import toucanrelay.gateway.member.ServiceDemandEntry
+import toucanrelay.gateway.member.StatedLimitEntry
 import toucanrelay.gateway.member.TableAgeEntry
 import toucanrelay.gateway.member.TargetLoadEntry
 import toucanrelay.gateway.member.UsageEntry
@@ -65,6 +69,8 @@
             servedByRegion = servedByRegion(),
             isReady = isReady(),
             partEvidence = partEvidence.shared(),
+            demand = demand(),
+            statedLimits = statedLimits(),
         )
 
     private fun loads(): List<TargetLoadEntry> =
@@ -88,6 +94,23 @@
             RegionServedEntry(region?.value.orEmpty(), served.toInt())
         }
 
+    private fun demand(): List<ServiceDemandEntry> =
+        components.serviceDemand.snapshot().map { (service, perSecond) ->
+            ServiceDemandEntry(service, perSecond.toFloat())
+        }
+
+    private fun statedLimits(): List<StatedLimitEntry> {
+        val now = components.clock.nowMilliseconds()
+        return components.statedLimits.statementsToShare(MAX_STATED_LIMITS).map { shared ->
+            StatedLimitEntry(
+                shared.target.value,
+                shared.incarnation.value,
+                shared.statement.requestsPerSecond,
+                now - shared.statement.atMilliseconds,
+            )
+        }
+    }
+
     private fun isReported(target: Target) =
         target.load.requests > 0 || target.readTokenRate.perSecond >= MIN_READ_TOKENS_PER_SECOND
 
@@ -109,9 +132,19 @@
                 ?.recordRead(shared)
         }
         partEvidence.receive(digest.partEvidence)
+        digest.statedLimits.forEach { receive(it) }
         hasUnappliedDigests = true
     }
 
+    private fun receive(entry: StatedLimitEntry) {
+        val at = components.clock.nowMilliseconds() - entry.agoMilliseconds
+        components.statedLimits.merge(
+            TargetId(entry.target),
+            Incarnation(entry.incarnation),
+            LimitStatement(entry.requestsPerSecond, at),
+        )
+    }
+
     private fun updateOthersLoads() {
         val loads = components.fleet.loads()
         components.pool.all().forEach { target ->
@@ -122,6 +155,8 @@
     }
 
     private companion object {
+        /** Keeps a digest within one datagram. */
+        const val MAX_STATED_LIMITS = 64
         const val MIN_READ_TOKENS_PER_SECOND = 100.0
         const val SENDS_PER_OTHER_REGION_SEND = 3L
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -61,7 +61,7 @@
             schedulePeriodic(MEMBER_EXPIRY_PERIOD_MILLISECONDS) { components.fleet.expireSilent() }
             schedulePeriodic(SILENCE_CHECK_PERIOD_MILLISECONDS) { components.silenceDetector.abandonSilent() }
             schedulePeriodic(FAIR_SHARES_LOG_PERIOD_MILLISECONDS) { components.logFairShares() }
-            schedulePeriodic(POOL_CLEANUP_PERIOD_MILLISECONDS) { components.pool.cleanUp() }
+            schedulePeriodic(POOL_CLEANUP_PERIOD_MILLISECONDS) { components.cleanUp() }
             schedulePeriodic(SETTINGS_CHECK_PERIOD_MILLISECONDS) { reloadIfChanged() }
         }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
+import toucanrelay.core.allowance.StatedLimits
 import toucanrelay.core.configuration.ConfigurationRegister
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.overload.OrganisationUsage
@@ -19,7 +20,9 @@
 import toucanrelay.gateway.dispatch.Placer
 import toucanrelay.gateway.dispatch.RetryBudgets
 import toucanrelay.gateway.dispatch.RunnerDependencies
+import toucanrelay.gateway.dispatch.ServiceDemand
 import toucanrelay.gateway.dispatch.SilenceDetector
+import toucanrelay.gateway.dispatch.TargetAllowances
 import toucanrelay.gateway.follow.FollowedOperators
 import toucanrelay.gateway.follow.FollowedTargets
 import toucanrelay.gateway.follow.TableCopy
@@ -28,6 +31,7 @@
 import toucanrelay.gateway.http.CallerServer
 import toucanrelay.gateway.http.RequestIntake
 import toucanrelay.gateway.log.EventLog
+import toucanrelay.gateway.log.StatedLimitLog
 import toucanrelay.gateway.member.FleetView
 import toucanrelay.gateway.member.RecentPromptReads
 import toucanrelay.gateway.settings.GatewaySettings
@@ -61,7 +65,10 @@
     /** Withdraws this process from load balancing while it is overloaded. */
     val withdrawal = OverloadWithdrawal(clock)
     val fairShares = FairShares(clock, organisationUsage, fleet)
-    private val placer = Placer(settings, clock, pool, fleet, fairShares, recentReads)
+    val serviceDemand = ServiceDemand(clock)
+    val statedLimits = StatedLimits(clock, StatedLimitLog(log))
+    private val allowances = TargetAllowances(settings.instanceId, clock, fleet, serviceDemand, statedLimits)
+    private val placer = Placer(settings, clock, pool, allowances, fairShares, recentReads)
     private val outputEstimates = OutputEstimates()
     private val intake = RequestIntake(clock, configurations, outputEstimates, ::maxAgeMilliseconds)
 
@@ -101,6 +108,8 @@
                 targets = targets,
                 intake = intake,
                 organisationUsage = organisationUsage,
+                serviceDemand = serviceDemand,
+                statedLimits = statedLimits,
                 outputEstimates = outputEstimates,
                 retryBudgets = RetryBudgets(clock, { settings.bounds }, fleet),
                 silenceDetector = silenceDetector,
@@ -119,6 +128,12 @@
     /** Returns whether enough other members of the failure domain are ready to take the callers of this process. */
     fun isSpared(): Boolean = fleet.canReplaceSelf(FailureDomainId(settings.failureDomain))
 
+    /** Forgets the targets that are neither registered nor in use. */
+    fun cleanUp() {
+        pool.cleanUp()
+        statedLimits.retain(targets.currentTargets().keys)
+    }
+
     /** Measures the lag of the event loop and decides whether this process is overloaded. */
     fun recordTick() {
         loopLag.recordTick()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
@@ -46,14 +46,35 @@
 
     /** Places [request] on a target that is not in [excluded], waiting if all are busy; else returns the refusal. */
     suspend fun place(request: CallerRequest, excluded: Set<TargetId>): Result<Reservation, Refusal> {
-        when (val result = placer.place(request, excluded, ::wake)) {
-            is PlacementResult.Placed -> return Ok(result.reservation)
-            PlacementResult.NoTarget -> return Err(Refusal.NO_TARGET)
-            PlacementResult.Busy -> Unit
+        val waiter = Waiter(request, excluded)
+        if (!isPrecededByWaiters(waiter)) {
+            when (val result = placer.place(request, excluded, ::wake)) {
+                is PlacementResult.Placed -> return Ok(result.reservation)
+                PlacementResult.NoTarget -> return Err(Refusal.NO_TARGET)
+                PlacementResult.Busy -> Unit
+            }
         }
-        return await(Waiter(request, excluded))
+        return if (isServableInTime(waiter)) await(waiter) else Err(Refusal.OVERLOADED)
     }
 
+    /**
+     * Returns whether waiting requests come before that of [waiter].
+     *
+     * Where the rate of requests is limited, one that arrives at the right moment must not overtake them.
+     */
+    private fun isPrecededByWaiters(waiter: Waiter): Boolean =
+        waiters.isNotEmpty() && placer.isPaced(waiter.request) && waiters.any { precedes(it, waiter) }
+
+    /** Returns whether the request of [waiter] can be sent within its maximum wait, as far as limited rates tell. */
+    private fun isServableInTime(waiter: Waiter): Boolean {
+        val capacity = placer.pacedCapacity(waiter.request, waiter.excluded) ?: return true
+        val ahead = waiters.count { precedes(it, waiter) }
+        return capacity.waitMilliseconds(ahead) <= maxWaitMilliseconds(waiter)
+    }
+
+    private fun precedes(first: Waiter, second: Waiter): Boolean =
+        first.request.service.name == second.request.service.name && order.compare(first, second) < 0
+
     /** Schedules an attempt to place the waiting requests; to be called when a target may have capacity again. */
     fun wake() {
         if (isDrainScheduled || waiters.isEmpty()) return
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -2,6 +2,8 @@
 
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
+import toucanrelay.core.allowance.StatedLimit
+import toucanrelay.core.allowance.StatedLimits
 import toucanrelay.core.configuration.RouteKind
 import toucanrelay.core.placement.EngineSpeed
 import toucanrelay.core.retry.TargetOutcome
@@ -70,6 +72,7 @@
     private val responder: CallerResponder,
     private val clock: Clock,
     private val speed: EngineSpeed?,
+    private val statedLimits: StatedLimits,
     private val onReplaced: (TargetRegistration) -> Unit,
 ) {
     private var connection: TargetConnection? = null
@@ -131,6 +134,7 @@
         val answer = opened.exchange(outgoingRequest())
         answerBody = answer.body
         val problem = invalidReason(answer)
+        if (problem == null) recordStatedLimit(answer)
         return when {
             problem != null -> recordUnknown(problem)
             answer.parsedHeaders.isNotExecuted -> readRejection(answer)
@@ -139,6 +143,14 @@
         }
     }
 
+    /** Records what [answer] says of a limit; rejections need not repeat it, and 421 comes from another target. */
+    private fun recordStatedLimit(answer: TargetAnswer) {
+        val headers = answer.parsedHeaders
+        if (headers.isMisdirected) return
+        if (headers.isNotExecuted && headers.statedLimit == StatedLimit.None) return
+        statedLimits.recordAnswer(target.id, target.incarnation, headers.statedLimit, sentAtMilliseconds)
+    }
+
     private fun outgoingRequest(): OutgoingRequest {
         val gatewayHeaders =
             GatewayHeaders(
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -2,7 +2,6 @@
 
 import toucanrelay.core.configuration.ServiceSettings
 import toucanrelay.core.identity.FailureDomainId
-import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.TargetId
 import toucanrelay.core.overload.AdmissionLatencyLimit
 import toucanrelay.core.overload.RequestHistory
@@ -13,11 +12,9 @@
 import toucanrelay.core.placement.PlacementPolicy
 import toucanrelay.core.placement.PromptProfile
 import toucanrelay.core.placement.TargetLoad
-import toucanrelay.core.target.ColdStartAllowance
 import toucanrelay.core.target.TargetCondition
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.http.CallerRequest
-import toucanrelay.gateway.member.FleetView
 import toucanrelay.gateway.member.RecentPromptReads
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.target.ServingTarget
@@ -43,11 +40,10 @@
     private val settings: GatewaySettings,
     private val clock: Clock,
     private val pool: TargetPool,
-    private val fleet: FleetView,
+    private val allowances: TargetAllowances,
     private val shares: FairShares,
     private val reads: RecentPromptReads,
 ) {
-    private val self: InstanceId = settings.instanceId
     private val ownDomain = FailureDomainId(settings.failureDomain)
     private val speeds = HashMap<String, EngineSpeed>()
 
@@ -64,6 +60,21 @@
         )
     }
 
+    /** Returns whether the rate of requests to any target that may serve [request] is limited. */
+    fun isPaced(request: CallerRequest): Boolean =
+        allowedTargets(request).any { allowances.isPaced(it, request.service) }
+
+    /** Returns what may be sent to the targets of [request] not in [excluded], or null if not all rates are limited. */
+    fun pacedCapacity(request: CallerRequest, excluded: Set<TargetId>): PacedCapacity? {
+        val open = allowedTargets(request).filter { isOpen(it, request.service) && it.target.id !in excluded }
+        if (open.isEmpty() || !open.all { allowances.isPaced(it, request.service) }) return null
+        val pacers = open.map { it.target.pacing.pacer }
+        return PacedCapacity(
+            pacers.mapNotNull { it.millisecondsUntilNext() }.minOrNull(),
+            pacers.sumOf { it.ratePerSecond ?: 0.0 },
+        )
+    }
+
     /** Describes the availability of the targets to [request], for the log. */
     fun describeAvailability(request: CallerRequest): String {
         val serving = allowedTargets(request)
@@ -74,7 +85,8 @@
         val withRoom = candidates.filter { PlacementPolicy.hasRoom(prompt, it) }
         val unread = withRoom.minOfOrNull { it.load.unreadTokens }
         val allowed = allowedMilliseconds(request, historyOf(request, emptySet())).toInt()
-        return "$counts with room ${withRoom.size} min unread tokens $unread allowed ms $allowed"
+        val paced = serving.count { allowances.isPaced(it, request.service) }
+        return "$counts paced $paced with room ${withRoom.size} min unread tokens $unread allowed ms $allowed"
     }
 
     /** Returns how fast engines of [service] read prompts, at first estimated from their total [tokensPerSecond]. */
@@ -132,14 +144,11 @@
             TargetCondition.SUSPECTED -> false
         }
 
-    private fun hasCapacity(serving: ServingTarget, service: ServiceSettings): Boolean {
-        val connections = maxOf(1, service.maxConnections / fleet.size)
-        if (serving.target.load.requests >= connections) return false
-        val perSecond = service.coldRequestsPerSecond ?: return true
-        if (clock.nowMilliseconds() >= serving.registered.coldUntilMilliseconds) return true
-        val allowed = ColdStartAllowance.requestsPerSecond(serving.target.id, self, fleet.others, perSecond)
-        return serving.target.recentRequests.count() < allowed
-    }
+    private fun isOpen(serving: ServingTarget, service: ServiceSettings): Boolean =
+        allowances.hasConnection(serving, service) && isHealthy(serving)
+
+    private fun hasCapacity(serving: ServingTarget, service: ServiceSettings): Boolean =
+        allowances.hasConnection(serving, service) && allowances.maySend(serving, service)
 
     private fun candidateOf(serving: ServingTarget, prompt: PromptProfile?, service: ServiceSettings): Candidate {
         val target = serving.target
@@ -165,7 +174,7 @@
         val target = serving.target
         val tokensAhead = target.load.unreadTokens + target.othersLoad.unreadTokens + placement.unreadTokens
         request.prompt?.let { recordRead(target, it, placement) }
-        target.recentRequests.add()
+        target.pacing.pacer.recordSent()
         val load = TargetLoad(1, placement.unreadTokens, expectedMemoryTokens(request.prompt, placement))
         return Reservation(serving.registered, target, placement, regionOf(serving), tokensAhead, load, onRelease)
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.withTimeoutOrNull
+import toucanrelay.core.allowance.StatedLimits
 import toucanrelay.core.overload.OrganisationUsage
 import toucanrelay.core.overload.RetryDelay
 import toucanrelay.core.quarantine.PartCondition
@@ -29,6 +30,8 @@
     val targets: TargetRegistry,
     val intake: RequestIntake,
     val organisationUsage: OrganisationUsage,
+    val serviceDemand: ServiceDemand,
+    val statedLimits: StatedLimits,
     val outputEstimates: OutputEstimates,
     val retryBudgets: RetryBudgets,
     val silenceDetector: SilenceDetector,
@@ -51,6 +54,7 @@
     /** Runs the request to its final answer. */
     suspend fun run() {
         retryBudget.recordRequest()
+        dependencies.serviceDemand.recordRequest(request.service.name)
         request.prompt?.let { dependencies.organisationUsage.recordDemand(request.usageKey, it.chargedTokens) }
         val remaining =
             request.deadlineAtMilliseconds - dependencies.clock.nowMilliseconds() - ANSWER_MARGIN_MILLISECONDS
@@ -123,7 +127,17 @@
     private suspend fun attempt(reservation: Reservation): AttemptResult {
         recordPlacement(reservation)
         val speed = request.prompt?.let { dependencies.placer.speedOf(request.service, null) }
-        val attempt = Attempt(request, reservation, progress, responder, dependencies.clock, speed, ::recordReplaced)
+        val attempt =
+            Attempt(
+                request,
+                reservation,
+                progress,
+                responder,
+                dependencies.clock,
+                speed,
+                dependencies.statedLimits,
+                ::recordReplaced,
+            )
         return dependencies.silenceDetector.watch(attempt) { attempt.run() }
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -51,10 +51,6 @@
     val otherRegionAddresses: List<TargetAddress>
         get() = members.values.filter { !isInOwnRegion(it) }.map { it.address }
 
-    /** The other members that have not expired. */
-    val others: Set<InstanceId>
-        get() = members.keys
-
     /** Number of members that share the fleet's budgets, including this one. */
     val size: Int
         get() = members.size + 1
@@ -149,6 +145,26 @@
             .groupBy { TargetId(it.target) }
             .mapValues { (_, entries) -> OthersLoad.sum(entries) }
 
+    /**
+     * Returns the requests per second that callers ask of each other member for [service].
+     *
+     * A silent member may be cut off from this process and still send requests, so its last demand counts for a while.
+     * A member that has sent no digest yet counts with [unknownPerSecond].
+     */
+    fun demands(service: String, unknownPerSecond: Double): Map<InstanceId, Double> {
+        val oldest = clock.nowMilliseconds() - DEMAND_VALIDITY_MILLISECONDS
+        return members.filterValues { it.lastSeenAtMilliseconds >= oldest }.mapValues { (_, member) ->
+            val digest = member.digest
+            val demand =
+                digest
+                    ?.demand
+                    ?.find { it.service == service }
+                    ?.requestsPerSecond
+                    ?.toDouble()
+            if (digest == null) unknownPerSecond else demand ?: 0.0
+        }
+    }
+
     /** Returns the usage of each organisation at all other live members. */
     fun usage(): Map<UsageKey, UsageRate> {
         val usage = HashMap<UsageKey, UsageRate>()
@@ -187,6 +203,7 @@
     private companion object {
         /** A member that has sent no digest for this long is assumed to have no requests in flight. */
         const val LIVENESS_TIMEOUT_MILLISECONDS = 2_000L
+        const val DEMAND_VALIDITY_MILLISECONDS = 15_000L
         const val EXPIRY_MILLISECONDS = 60_000L
         const val FAILED_OFFER_BACKOFF_MILLISECONDS = 1_000L
         const val OTHER_REGION_PENALTY_MILLISECONDS = 300L
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -87,6 +87,27 @@
     @ProtoNumber(3) val answeredAgoMilliseconds: Long? = null,
 )
 
+/** Requests per second that callers send to a member for a service. */
+@Serializable
+internal class ServiceDemandEntry(
+    @ProtoNumber(1) val service: String,
+    @ProtoNumber(2) val requestsPerSecond: Float,
+)
+
+/**
+ * Limit that a run of a target stated to the sending member.
+ *
+ * @property requestsPerSecond null if the target states no limit any more.
+ * @property agoMilliseconds time since the statement, on the sending member's clock.
+ */
+@Serializable
+internal class StatedLimitEntry(
+    @ProtoNumber(1) val target: String,
+    @ProtoNumber(2) val incarnation: Long,
+    @ProtoNumber(3) val requestsPerSecond: Double? = null,
+    @ProtoNumber(4) val agoMilliseconds: Long = 0,
+)
+
 /**
  * Summary of a member's state, which it sends to the others several times per second.
  *
@@ -110,4 +131,6 @@
     @ProtoNumber(10) val servedByRegion: List<RegionServedEntry> = emptyList(),
     @ProtoNumber(11) val partEvidence: List<PartEvidenceEntry> = emptyList(),
     @ProtoNumber(12) val isReady: Boolean = true,
+    @ProtoNumber(13) val demand: List<ServiceDemandEntry> = emptyList(),
+    @ProtoNumber(14) val statedLimits: List<StatedLimitEntry> = emptyList(),
 )
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/Target.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/Target.kt
@@ -1,5 +1,6 @@
 package toucanrelay.gateway.target
 
+import toucanrelay.core.allowance.TargetPacing
 import toucanrelay.core.configuration.ServiceSettings
 import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.identity.StableHash
@@ -7,7 +8,6 @@
 import toucanrelay.core.placement.PrefixResidency
 import toucanrelay.core.placement.TargetLoad
 import toucanrelay.core.statistics.DecayingRate
-import toucanrelay.core.statistics.SlidingWindowCounter
 import toucanrelay.core.target.RegisteredTarget
 import toucanrelay.core.target.TargetHealth
 import toucanrelay.core.time.Clock
@@ -28,8 +28,8 @@
     val connections: TargetConnections = connect(health::recordReceived)
     val residency = PrefixResidency(((service.engine?.memoryTokens ?: 0) * PREFIX_CACHE_FRACTION).toLong())
 
-    /** Requests sent in the last second, to limit the rate to cold targets. */
-    val recentRequests = SlidingWindowCounter(clock, ONE_SECOND_MILLISECONDS)
+    /** Keeps the requests of this process within its part of what the target takes from the fleet. */
+    val pacing = TargetPacing(clock, id)
 
     /** Rate of the prompt tokens that this process sends to the target. */
     val readTokenRate = DecayingRate(clock, READ_RATE_TIME_CONSTANT_MILLISECONDS)
@@ -45,7 +45,6 @@
 
     private companion object {
         const val READ_RATE_TIME_CONSTANT_MILLISECONDS = 2_000L
-        const val ONE_SECOND_MILLISECONDS = 1_000L
         const val PREFIX_CACHE_FRACTION = 0.65
     }
 }
