Prefer long prompts for targets with a limited rate of requests

Where targets limit the rate of requests, a short prompt takes as much of it as a long one, and both went to whichever target had the shortest queue: that is mostly a limited one, since it has little to read. The part of the interval between two requests in which the target reads nothing now counts as a cost, so short prompts go to other targets while their queues are short.

--- a/core/src/main/kotlin/toucanrelay/core/placement/PlacementOption.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PlacementOption.kt
@@ -31,6 +31,7 @@
                 rereadMilliseconds * REREAD_WEIGHT +
                 delayToOthers() * DELAY_TO_OTHERS_WEIGHT +
                 generationDelay() * GENERATION_DELAY_WEIGHT +
+                unusedInterval() +
                 candidate.distance.costMilliseconds +
                 candidate.failureRate * PlacementPolicy.FAILURE_COST_MILLISECONDS +
                 rank * RANK_COST_MILLISECONDS
@@ -56,6 +57,14 @@
     private fun generationDelay(): Double =
         prompt.expectedOutputTokens * CHUNK_MILLISECONDS * speed.busyFraction(candidate.readTokensPerSecond)
 
+    /**
+     * Returns the part of the interval between two requests of a target with a limited rate in which it reads nothing.
+     *
+     * Such a target takes long prompts as often as short ones, so short ones cost others their turn.
+     */
+    private fun unusedInterval(): Double =
+        maxOf(0.0, candidate.requestIntervalMilliseconds - speed.millisecondsToRead(unread))
+
     private companion object {
         const val REREAD_WEIGHT = 1.0
         const val DELAY_TO_OTHERS_WEIGHT = 0.15
--- a/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PlacementPolicy.kt
@@ -22,6 +22,8 @@
  * @property slots maximum number of requests that the target runs concurrently.
  * @property memoryTokens memory of a model engine, in tokens; null for a plain service.
  * @property hash stable hash of [target].
+ * @property requestIntervalMilliseconds mean time between the requests that the target takes; zero if their rate is not
+ *   limited.
  */
 public data class Candidate(
     public val target: TargetId,
@@ -33,6 +35,7 @@
     public val slots: Int,
     public val memoryTokens: Long?,
     public val hash: Long = StableHash.of(target.value),
+    public val requestIntervalMilliseconds: Double = 0.0,
 )
 
 /**
@@ -50,9 +53,10 @@
 /**
  * Chooses the target of a request.
  *
- * A model call goes to the target with the earliest expected first event. Three costs count against a target: reading
+ * A model call goes to the target with the earliest expected first event. Four costs count against a target: reading
  * shared prompt parts that another engine has cached, reading a long prompt where it delays many requests that generate
- * output, and generating long output where many prompts being read delay it. As a result, engines specialise in reading
+ * output, generating long output where many prompts being read delay it, and sending a short prompt where the rate of
+ * requests is limited. As a result, engines specialise in reading
  * or in generating. A rendezvous hash of the prompt's affinity key breaks ties, so that all instances send prompts with
  * the same key to the same few engines without coordination.
  */
--- a/core/src/test/kotlin/toucanrelay/core/placement/PlacementPolicyTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/placement/PlacementPolicyTest.kt
@@ -109,6 +109,19 @@
             }
         }
 
+        describe("a target with a limited rate of requests") {
+            val limited = candidate("a").copy(requestIntervalMilliseconds = 200.0)
+
+            it("gets long prompts rather than short ones, which another target reads soon enough") {
+                place(prompt(8_000), limited, candidate("b", unread = 3_000)) shouldBe "a"
+                place(prompt(400), limited, candidate("b", unread = 3_000)) shouldBe "b"
+            }
+
+            it("gets short prompts where the other targets have long queues") {
+                place(prompt(400), limited, candidate("b", unread = 12_000)) shouldBe "a"
+            }
+        }
+
         describe("a target that fails part of its requests") {
             it("is avoided") {
                 place(prompt(1_000), candidate("a", failureRate = 0.5), candidate("b", unread = 4_000)) shouldBe "b"
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -162,6 +162,8 @@
             slots = serving.registered.registration.slots,
             memoryTokens = service.engine?.memoryTokens,
             hash = target.hash,
+            requestIntervalMilliseconds =
+                target.pacing.fleetRequestsPerSecond?.let { MILLISECONDS_PER_SECOND / it } ?: 0.0,
         )
     }
 
