--- a/gateway/src/test/kotlin/toucanrelay/gateway/CrashingFleetFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/CrashingFleetFixture.kt
@@ -16,8 +16,15 @@
 /** A part of a prompt on which each target of [CrashingFleetFixture] crashes as it begins to write an answer. */
 internal const val CRASHING_PART = "bad0"
 
-/** Gateways that know each other, and targets that crash on [CRASHING_PART] and start again shortly after. */
-internal class CrashingFleetFixture {
+/** The body of a request on which each target of [CrashingFleetFixture] crashes, whatever its prompt is. */
+internal const val CRASHING_BODY = "bad body"
+
+/**
+ * Gateways that know each other, and targets that crash on [CRASHING_PART] or [CRASHING_BODY] and start again shortly after.
+ */
+internal class CrashingFleetFixture(
+    private val isModelService: Boolean = true,
+) {
     private val fleet = GatewayFleetFixture(TARGETS)
     private val scope = CoroutineScope(fleet.vertx.dispatcher())
     private val crashCount = AtomicInteger()
@@ -32,13 +39,14 @@
         fleet.start(TargetScript(::answer)) {
             route("/streams/", GatewayFleetFixture.SERVICE, "streaming", isResumable = true)
             route("/chats/", GatewayFleetFixture.SERVICE, "streaming", isResumable = false)
-            service(GatewayFleetFixture.SERVICE, engineMemoryTokens = 100_000)
+            route("/calls/", GatewayFleetFixture.SERVICE, "idempotent")
+            service(GatewayFleetFixture.SERVICE, engineMemoryTokens = if (isModelService) 100_000 else null)
         }
         repeat(gateways) { startGateway() }
     }
 
     /** Starts one more gateway and waits until it serves. */
-    suspend fun startGateway() = fleet.startGateway("/streams/x")
+    suspend fun startGateway() = fleet.startGateway("/calls/x")
 
     suspend fun stop() = fleet.stop()
 
@@ -46,6 +54,10 @@
     suspend fun send(gateway: Int, vararg parts: String, path: String = "/streams/x"): ReceivedResponse =
         fleet.send(gateway, path, parts.toList() + "e${requests++}")
 
+    /** Sends a request with [body] to [path]; its prompt has the same parts as that of any other such request. */
+    suspend fun sendBody(gateway: Int, path: String, body: String): ReceivedResponse =
+        fleet.send(gateway, path, listOf("a1", "c3"), body)
+
     /** Waits long enough for the gateways to tell each other what they know. */
     suspend fun awaitExchange() = fleet.awaitExchange()
 
@@ -60,7 +72,9 @@
     }
 
     private fun answer(request: HttpServerRequest, received: ReceivedRequest, target: TargetStandIn) {
-        if (CRASHING_PART !in partsOf(received)) return target.respondWithStream(request, received, 1, LAST_EVENT)
+        if (CRASHING_PART !in partsOf(received) && received.body != CRASHING_BODY) {
+            return target.respondWithStream(request, received, 1, LAST_EVENT)
+        }
         crashCount.incrementAndGet()
         // The head of the answer is out before the target crashes.
         target.beginStream(request, received).writeHead().onComplete { scope.launch { restart(target) } }
