Quarantine requests on which targets crash, as their callers repeat them

The quarantine knew shared prompt parts only: a request that crashes targets by itself shares its parts with sound ones, whose answers cleared them, and requests to plain services were not looked at.

The quarantine now knows suspects of two kinds, prompt parts and requests, with one set of evidence, digests, conditions and lines. Crashes count for requests of plain services too, and for requests whose answer has begun. A request with a suspect goes to an address where nothing has crashed on it yet: prompts with the same parts went to one target by affinity, and crashes at one address do not tell the target from the request.

Renamed with it: refusal quarantined-prompt to quarantined, setting releasedPromptParts to releasedSuspects, gauge toucanrelay_prompt_parts to toucanrelay_crash_suspects, lines prompt-part-* to crash-suspect. The simulation now counts from the third crash instead of the fifth, for both kinds.

--- a/core/src/main/kotlin/toucanrelay/core/quarantine/PartEvidence.kt
+++ b/core/src/main/kotlin/toucanrelay/core/quarantine/CrashEvidence.kt
@@ -5,14 +5,14 @@
 import kotlinx.collections.immutable.toImmutableMap
 
 /**
- * What is known of a prompt part: the target runs that crashed on it, and the last answer that was written on it.
+ * What is known of a suspect: the target runs that crashed on it, and the last answer that was written on it.
  *
  * Evidence of several members is merged in any order and any number of times with the same result.
  *
- * @property crashes clock reading of each crash of a target that had written no answer yet on the part.
- * @property answeredAtMilliseconds clock reading when a target last wrote an answer on the part; null if it never did.
+ * @property crashes clock reading of each crash of a target that had written no answer yet on it.
+ * @property answeredAtMilliseconds clock reading when a target last wrote an answer on it; null if it never did.
  */
-public data class PartEvidence(
+public data class CrashEvidence(
     public val crashes: ImmutableMap<TargetRun, Long>,
     public val answeredAtMilliseconds: Long?,
 ) {
@@ -24,16 +24,16 @@
         }
 
     /** Returns the evidence of both; of a crash that both contain, the earlier clock reading. */
-    public fun merge(other: PartEvidence): PartEvidence {
+    public fun merge(other: CrashEvidence): CrashEvidence {
         val merged = HashMap(crashes)
         other.crashes.forEach { (run, at) -> merged.merge(run, at, ::minOf) }
         val answers = listOfNotNull(answeredAtMilliseconds, other.answeredAtMilliseconds)
-        return PartEvidence(merged.toImmutableMap(), answers.maxOrNull())
+        return CrashEvidence(merged.toImmutableMap(), answers.maxOrNull())
     }
 
     public companion object {
         /** No evidence. */
-        public val NONE: PartEvidence = PartEvidence(persistentMapOf(), null)
+        public val NONE: CrashEvidence = CrashEvidence(persistentMapOf(), null)
 
         /** An answer also refutes crashes up to this long after it, since members learn of either at different times. */
         public const val ANSWER_VALIDITY_MILLISECONDS: Long = 60_000L
--- a/core/src/main/kotlin/toucanrelay/core/quarantine/QuarantinePolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/quarantine/QuarantinePolicy.kt
@@ -1,37 +1,37 @@
 package toucanrelay.core.quarantine
 
-/** Whether requests with a prompt part may be sent to targets. */
-public enum class PartCondition {
-    /** Nothing speaks against the part. */
+/** Whether requests with a suspect may be sent to targets. */
+public enum class SuspectCondition {
+    /** Nothing speaks against it. */
     SOUND,
 
-    /** A target crashed on the part; a request that saw this is not sent to a second target. */
+    /** A target crashed on it; a request that saw this is not sent to a second target. */
     SUSPECTED,
 
-    /** Several targets crashed on the part and none answered; no request with it is sent to a target. */
+    /** Several targets crashed on it and none answered; no request with it is sent to a target. */
     QUARANTINED,
 }
 
 /**
- * Judges prompt parts by the crashes of targets that were processing them.
+ * Judges suspects by the crashes of targets that were processing them.
  *
- * Many requests are at a target when it crashes, so a single crash says little. A part that causes crashes never gets an
- * answer, while the sound parts at the same targets do.
+ * Many requests are at a target when it crashes, so a single crash says little. What causes crashes never gets an answer,
+ * while the sound requests at the same targets do, before or after.
  */
 public object QuarantinePolicy {
-    /** Returns the condition of a part with [evidence] at [nowMilliseconds]. */
-    public fun condition(evidence: PartEvidence, nowMilliseconds: Long): PartCondition {
+    /** Returns the condition of a suspect with [evidence] at [nowMilliseconds]. */
+    public fun condition(evidence: CrashEvidence, nowMilliseconds: Long): SuspectCondition {
         val crashes = evidence.unrefutedCrashes
-        val latest = crashes.values.maxOrNull() ?: return PartCondition.SOUND
+        val latest = crashes.values.maxOrNull() ?: return SuspectCondition.SOUND
         val since = nowMilliseconds - latest
         return when {
-            isCause(crashes) && since < quarantineMilliseconds(crashes.size) -> PartCondition.QUARANTINED
-            since < retentionMilliseconds(crashes.size) -> PartCondition.SUSPECTED
-            else -> PartCondition.SOUND
+            isCause(crashes) && since < quarantineMilliseconds(crashes.size) -> SuspectCondition.QUARANTINED
+            since < retentionMilliseconds(crashes.size) -> SuspectCondition.SUSPECTED
+            else -> SuspectCondition.SOUND
         }
     }
 
-    /** Returns how long a part with [crashes] is remembered after the latest of them. */
+    /** Returns how long a suspect with [crashes] is remembered after the latest of them. */
     public fun retentionMilliseconds(crashes: Int): Long =
         if (crashes < CRASHES_TO_QUARANTINE) SUSPICION_MILLISECONDS else 2 * quarantineMilliseconds(crashes)
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -5,10 +5,10 @@
 import toucanrelay.core.identity.TargetId
 import toucanrelay.core.placement.PromptPart
 import toucanrelay.core.target.TargetAddress
+import toucanrelay.gateway.member.CrashEvidenceExchange
 import toucanrelay.gateway.member.MemberDigest
 import toucanrelay.gateway.member.MemberExchange
 import toucanrelay.gateway.member.OthersLoad
-import toucanrelay.gateway.member.PartEvidenceExchange
 import toucanrelay.gateway.member.PromptReadEntry
 import toucanrelay.gateway.member.RegionServedEntry
 import toucanrelay.gateway.member.ServiceDemandEntry
@@ -24,7 +24,7 @@
     private val incarnation: Long,
     private val isReady: () -> Boolean,
 ) {
-    private val partEvidence = PartEvidenceExchange(components.quarantine, components.clock)
+    private val crashEvidence = CrashEvidenceExchange(components.quarantine, components.clock)
     private val memberExchange = MemberExchange(components.vertx, components.fleet, components.log, ::receive)
     private var sequence = 0L
     private var hasUnappliedDigests = false
@@ -68,7 +68,7 @@
                 },
             servedByRegion = servedByRegion(),
             isReady = isReady(),
-            partEvidence = partEvidence.shared(),
+            crashEvidence = crashEvidence.shared(),
             demand = demand(),
             statedLimits = statedLimits(),
         )
@@ -131,7 +131,7 @@
                 ?.residency
                 ?.recordRead(shared)
         }
-        partEvidence.receive(digest.partEvidence)
+        crashEvidence.receive(digest.crashEvidence)
         digest.statedLimits.forEach { receive(it) }
         hasUnappliedDigests = true
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import toucanrelay.core.quarantine.Suspect
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.EpochClock
 import toucanrelay.core.time.MonotonicClock
@@ -94,7 +95,14 @@
             .load(settingsFile)
             .onSuccess { loaded ->
                 components.settings = loaded
-                vertx.runOnContext { loaded.releasedPromptParts.forEach { components.quarantine.release(it) } }
+                vertx.runOnContext {
+                    loaded.releasedSuspects
+                        .mapNotNull {
+                            Suspect.parse(
+                                it,
+                            )
+                        }.forEach { components.quarantine.release(it) }
+                }
                 components.log.write("reload", "instance" to loaded.instance)
             }.onFailure { components.log.write("reload-failed", "detail" to it.detail) }
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -7,8 +7,9 @@
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.overload.OrganisationUsage
 import toucanrelay.core.overload.OverloadWithdrawal
-import toucanrelay.core.quarantine.PartCondition
-import toucanrelay.core.quarantine.PromptPartQuarantine
+import toucanrelay.core.quarantine.CrashQuarantine
+import toucanrelay.core.quarantine.Suspect
+import toucanrelay.core.quarantine.SuspectCondition
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.target.TargetRegistry
 import toucanrelay.core.time.EpochClock
@@ -58,7 +59,7 @@
     val fleet = FleetView(settings.instanceId, settings.region, clock) { settings.regionOf(it) }
     val recentReads = RecentPromptReads()
     val organisationUsage = OrganisationUsage(clock)
-    val quarantine = PromptPartQuarantine(clock, ::logPartCondition)
+    val quarantine = CrashQuarantine(clock, ::logCondition)
     val silenceDetector = SilenceDetector(clock) { loopLag.milliseconds }
     val store = StoreClient(vertx, addressOf(settings.storeAddress))
 
@@ -68,7 +69,7 @@
     val serviceDemand = ServiceDemand(clock)
     val statedLimits = StatedLimits(clock, StatedLimitLog(log))
     private val allowances = TargetAllowances(settings.instanceId, clock, fleet, serviceDemand, statedLimits)
-    private val placer = Placer(settings, clock, pool, allowances, fairShares, recentReads)
+    private val placer = Placer(settings, clock, pool, allowances, fairShares, recentReads, quarantine)
     private val outputEstimates = OutputEstimates()
     private val intake = RequestIntake(clock, configurations, outputEstimates, ::maxAgeMilliseconds)
 
@@ -142,8 +143,8 @@
         if (withdrawal.isWithdrawn && !wasWithdrawn) log.write("withdrawn", "loopLagMs" to loopLag.milliseconds)
     }
 
-    private fun logPartCondition(part: String, condition: PartCondition) {
-        log.write("prompt-part-${condition.name.lowercase()}", "part" to part)
+    private fun logCondition(suspect: Suspect, condition: SuspectCondition) {
+        log.write("crash-suspect", "suspect" to suspect, "condition" to condition.name.lowercase())
     }
 
     /** Returns the maximum age of the configuration at which its keys are still accepted. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
@@ -1,7 +1,7 @@
 package toucanrelay.gateway
 
 import io.micrometer.core.instrument.Tags
-import toucanrelay.core.quarantine.PartCondition
+import toucanrelay.core.quarantine.SuspectCondition
 import toucanrelay.core.target.TargetCondition
 
 /** Registers the gauges that read the state of the gateway's components at each scrape. */
@@ -26,8 +26,8 @@
     tableCopies.forEach { (table, copy) ->
         meters.gauge("toucanrelay_table_age_milliseconds", Tags.of("table", table)) { copy.ageMilliseconds }
     }
-    listOf(PartCondition.SUSPECTED, PartCondition.QUARANTINED).forEach { condition ->
-        meters.gauge("toucanrelay_prompt_parts", Tags.of("condition", condition.name.lowercase())) {
+    listOf(SuspectCondition.SUSPECTED, SuspectCondition.QUARANTINED).forEach { condition ->
+        meters.gauge("toucanrelay_crash_suspects", Tags.of("condition", condition.name.lowercase())) {
             quarantine.counts()[condition] ?: 0
         }
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -30,6 +30,15 @@
     val body: Buffer,
 )
 
+/** Where a target broke off its answer. */
+internal enum class BreakPoint {
+    /** Before it had written more than a first event. */
+    BEFORE_ANSWER,
+
+    /** After it had written at least two events. */
+    WITHIN_ANSWER,
+}
+
 /** How an attempt ended. */
 internal sealed interface AttemptResult {
     /** The complete answer was sent to the caller. */
@@ -40,14 +49,14 @@
      *
      * @property failure the target's error response, if there is one to pass on.
      * @property tooLarge the part of the answer of which the target sent more bytes than a valid answer has, if any.
-     * @property isBrokenOffEarly whether the connection failed before the target had written more than a first event.
+     * @property brokenOff where the target broke off its answer, if it did.
      */
     class Unanswered(
         val outcome: TargetOutcome,
         val detail: String,
         val failure: BufferedAnswer? = null,
         val tooLarge: AnswerPart? = null,
-        val isBrokenOffEarly: Boolean = false,
+        val brokenOff: BreakPoint? = null,
     ) : AttemptResult
 }
 
@@ -301,7 +310,7 @@
         return AttemptResult.Unanswered(
             TargetOutcome.UNKNOWN,
             detail,
-            isBrokenOffEarly = events < EVENTS_OF_BEGUN_ANSWER,
+            brokenOff = if (events < EVENTS_OF_BEGUN_ANSWER) BreakPoint.BEFORE_ANSWER else BreakPoint.WITHIN_ANSWER,
         )
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -12,6 +12,7 @@
 import toucanrelay.core.placement.PlacementPolicy
 import toucanrelay.core.placement.PromptProfile
 import toucanrelay.core.placement.TargetLoad
+import toucanrelay.core.quarantine.CrashQuarantine
 import toucanrelay.core.target.TargetCondition
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.http.CallerRequest
@@ -43,6 +44,7 @@
     private val allowances: TargetAllowances,
     private val shares: FairShares,
     private val reads: RecentPromptReads,
+    private val quarantine: CrashQuarantine,
 ) {
     private val ownDomain = FailureDomainId(settings.failureDomain)
     private val speeds = HashMap<String, EngineSpeed>()
@@ -52,7 +54,7 @@
         val serving = allowedTargets(request)
         val untried = serving.filter { it.target.id !in excluded }
         if (untried.isEmpty()) return PlacementResult.NoTarget
-        val usable = usableTargets(untried, request.service)
+        val usable = usableTargets(preferUnharmed(untried, request), request.service)
         val candidates = usable.map { candidateOf(it, request.prompt, request.service) }
         val placement = choose(request, candidates, historyOf(request, excluded)) ?: return PlacementResult.Busy
         return PlacementResult.Placed(
@@ -101,6 +103,17 @@
     private fun allowedTargets(request: CallerRequest): List<ServingTarget> =
         pool.serving(request.service).filter { request.allows(regionOf(it)) }
 
+    /**
+     * Returns the targets of [serving] at whose addresses nothing crashed on a suspect of [request], or all if there are none.
+     *
+     * Crashes at several addresses tell sooner whether the request is their cause or one of the targets is.
+     */
+    private fun preferUnharmed(serving: List<ServingTarget>, request: CallerRequest): List<ServingTarget> {
+        val crashAddresses = quarantine.crashAddresses(request.suspects)
+        if (crashAddresses.isEmpty()) return serving
+        return serving.filter { it.registered.registration.address !in crashAddresses }.ifEmpty { serving }
+    }
+
     private fun historyOf(request: CallerRequest, excluded: Set<TargetId>): RequestHistory =
         when {
             excluded.isNotEmpty() -> RequestHistory.INTERRUPTED
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -5,8 +5,9 @@
 import toucanrelay.core.allowance.StatedLimits
 import toucanrelay.core.overload.OrganisationUsage
 import toucanrelay.core.overload.RetryDelay
-import toucanrelay.core.quarantine.PartCondition
-import toucanrelay.core.quarantine.PromptPartQuarantine
+import toucanrelay.core.quarantine.CrashQuarantine
+import toucanrelay.core.quarantine.Suspect
+import toucanrelay.core.quarantine.SuspectCondition
 import toucanrelay.core.retry.AttemptState
 import toucanrelay.core.retry.NextStep
 import toucanrelay.core.retry.NextStepPolicy
@@ -35,7 +36,7 @@
     val outputEstimates: OutputEstimates,
     val retryBudgets: RetryBudgets,
     val silenceDetector: SilenceDetector,
-    val quarantine: PromptPartQuarantine,
+    val quarantine: CrashQuarantine,
     val crashDetector: CrashDetector,
     val meters: GatewayMeters,
     val log: EventLog,
@@ -96,10 +97,10 @@
             }
             val result = attempt(reservation)
             if (result is AttemptResult.Unanswered) {
-                if (result.isBrokenOffEarly) dependencies.crashDetector.recordBrokenOff(request, reservation)
+                result.brokenOff?.let { dependencies.crashDetector.recordBrokenOff(request, reservation, it) }
                 if (!continueAfter(result)) return
             } else {
-                dependencies.quarantine.recordAnswer(request.sharedPartIds)
+                dependencies.quarantine.recordAnswer(request.suspects)
                 if (request.lastEventId == null) dependencies.outputEstimates.recordOutput(request, progress.events)
                 return end("answered")
             }
@@ -108,20 +109,20 @@
 
     /** Returns why the request must not be sent to a target now, or null if it may be sent. */
     private fun reasonNotToSend(): Refusal? {
-        val part = dependencies.quarantine.quarantinedPart(request.sharedPartIds)
-        if (part != null) {
-            progress.detail = describeQuarantine(part)
-            return Refusal.QUARANTINED_PROMPT
+        val suspect = dependencies.quarantine.quarantined(request.suspects)
+        if (suspect != null) {
+            progress.detail = describeQuarantine(suspect)
+            return Refusal.QUARANTINED
         }
         return Refusal.STALE_CONFIGURATION.takeIf { !dependencies.intake.isKeyCurrent(request.organisation) }
     }
 
-    private fun describeQuarantine(part: String): String {
+    private fun describeQuarantine(suspect: Suspect): String {
         val crashed =
             dependencies.quarantine
-                .evidenceOn(part)
+                .evidenceOn(suspect)
                 .unrefutedCrashes.keys
-        return "prompt part $part crashed ${crashed.joinToString { it.target.value }}"
+        return "$suspect crashed ${crashed.joinToString { it.target.value }}"
     }
 
     private suspend fun attempt(reservation: Reservation): AttemptResult {
@@ -199,10 +200,10 @@
             remainingMilliseconds = request.deadlineAtMilliseconds - dependencies.clock.nowMilliseconds(),
         )
 
-    /** Returns whether the request may have crashed its target and targets have crashed on its prompt before. */
+    /** Returns whether the request may have crashed its target and targets have crashed on it or its prompt before. */
     private fun wouldRiskCrash(result: AttemptResult.Unanswered): Boolean =
-        result.isBrokenOffEarly &&
-            dependencies.quarantine.worstCondition(request.sharedPartIds) != PartCondition.SOUND
+        result.brokenOff != null &&
+            dependencies.quarantine.worstCondition(request.suspects) != SuspectCondition.SOUND
 
     private fun endAfter(step: NextStep, result: AttemptResult.Unanswered) {
         val failure = result.failure
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpHeaders
 import io.vertx.core.http.HttpMethod
 import toucanrelay.core.configuration.Configuration
 import toucanrelay.core.configuration.Organisation
@@ -11,6 +12,7 @@
 import toucanrelay.core.identity.RegionId
 import toucanrelay.core.overload.UsageKey
 import toucanrelay.core.placement.PromptProfile
+import toucanrelay.core.quarantine.Suspect
 
 /**
  * A caller's request that [RequestIntake] has accepted.
@@ -46,8 +48,18 @@
     val rank: Int
         get() = organisation?.rank ?: route.rank
 
-    /** Ids of the prompt parts that other requests may share with this one. */
-    val sharedPartIds: List<String> = prompt?.sharedParts?.map { it.id }.orEmpty()
+    /** The prompt parts that other requests may share with this one, as possible causes of crashes. */
+    val suspectParts: List<Suspect> = prompt?.sharedParts?.map { Suspect.PromptPart(it.id) }.orEmpty()
+
+    /** The request itself as a possible cause of crashes; the same for each repetition by its caller. */
+    val suspectRequest: Suspect by lazy(LazyThreadSafetyMode.NONE) {
+        val host = headers.get(HttpHeaders.HOST).orEmpty()
+        Suspect.Request(RequestFingerprint.of(account.value, method.name(), host, uri, body))
+    }
+
+    /** All that targets may crash on when they run the request. */
+    val suspects: List<Suspect>
+        get() = suspectParts + suspectRequest
 
     /** Identifies the organisation and the regions under which the request's use of the engines is counted. */
     val usageKey: UsageKey
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
@@ -27,8 +27,8 @@
     /** No target that may serve the request exists. */
     NO_TARGET("no-target", 503, true),
 
-    /** Targets crashed on a part of the prompt; the request has not run, and would be refused again. */
-    QUARANTINED_PROMPT("quarantined-prompt", 503, false),
+    /** Targets crashed on the request or a part of its prompt; it has not run, and would be refused again. */
+    QUARANTINED("quarantined", 503, false),
 
     /** All targets are too busy to serve the request in time. */
     OVERLOADED("overloaded", 503, true),
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -76,15 +76,17 @@
 )
 
 /**
- * Evidence on a prompt part that may crash targets.
+ * Evidence on a prompt part or a request that may crash targets.
  *
+ * @property suspect id of the part, or fingerprint of the request.
  * @property answeredAgoMilliseconds time since a target last wrote an answer on it; null if none is known.
  */
 @Serializable
-internal class PartEvidenceEntry(
-    @ProtoNumber(1) val part: String,
+internal class CrashEvidenceEntry(
+    @ProtoNumber(1) val suspect: String,
     @ProtoNumber(2) val crashes: List<CrashEntry> = emptyList(),
     @ProtoNumber(3) val answeredAgoMilliseconds: Long? = null,
+    @ProtoNumber(4) val isRequest: Boolean = false,
 )
 
 /** Requests per second that callers send to a member for a service. */
@@ -129,7 +131,7 @@
     @ProtoNumber(8) val failureDomain: String = "",
     @ProtoNumber(9) val tables: List<TableAgeEntry> = emptyList(),
     @ProtoNumber(10) val servedByRegion: List<RegionServedEntry> = emptyList(),
-    @ProtoNumber(11) val partEvidence: List<PartEvidenceEntry> = emptyList(),
+    @ProtoNumber(11) val crashEvidence: List<CrashEvidenceEntry> = emptyList(),
     @ProtoNumber(12) val isReady: Boolean = true,
     @ProtoNumber(13) val demand: List<ServiceDemandEntry> = emptyList(),
     @ProtoNumber(14) val statedLimits: List<StatedLimitEntry> = emptyList(),
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
@@ -4,6 +4,7 @@
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.identity.RegionId
+import toucanrelay.core.quarantine.Suspect
 import toucanrelay.core.target.TargetAddress
 
 /**
@@ -33,7 +34,8 @@
  * @property readinessAddress `host:port` at which the load balancer probes whether the process is ready.
  * @property memberPorts first and last port for traffic between instances; the same on every instance.
  * @property storeAddress `host:port` of the platform's store.
- * @property releasedPromptParts ids of prompt parts that operators declare sound when the settings are reloaded.
+ * @property releasedSuspects prompt parts and requests that operators declare sound when the settings are reloaded, in the
+ *   text form of [Suspect].
  * @property maxDescriptors number of files and sockets that the process may have open.
  */
 @Serializable
@@ -48,7 +50,7 @@
     public val storeAddress: String,
     public val bounds: Bounds,
     public val maxDescriptors: Int = DEFAULT_MAX_DESCRIPTORS,
-    public val releasedPromptParts: List<String> = emptyList(),
+    public val releasedSuspects: List<String> = emptyList(),
 ) {
     /** Identifier of this instance. */
     public val instanceId: InstanceId
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/SettingsLoader.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/SettingsLoader.kt
@@ -6,6 +6,7 @@
 import com.github.michaelbull.result.andThen
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import toucanrelay.core.quarantine.Suspect
 import java.io.IOException
 import java.nio.file.Path
 import kotlin.io.path.readText
@@ -48,6 +49,7 @@
                 "readinessAddress" to settings.readinessAddress,
                 "storeAddress" to settings.storeAddress,
             ).firstOrNull { (_, value) -> GatewaySettings.addressOf(value) == null }
+        val unknownSuspect = settings.releasedSuspects.firstOrNull { Suspect.parse(it) == null }
         return when {
             problem != null -> {
                 Err(SettingsProblem("${problem.first}: '${problem.second}' is not host:port"))
@@ -69,6 +71,10 @@
                 )
             }
 
+            unknownSuspect != null -> {
+                Err(SettingsProblem("releasedSuspects: '$unknownSuspect' is neither part:ID nor request:ID"))
+            }
+
             else -> {
                 Ok(settings)
             }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/member/CrashingPartSimulationTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/member/CrashQuarantineSimulationTest.kt
@@ -6,7 +6,8 @@
 import io.kotest.matchers.shouldBe
 import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.identity.TargetId
-import toucanrelay.core.quarantine.PromptPartQuarantine
+import toucanrelay.core.quarantine.CrashQuarantine
+import toucanrelay.core.quarantine.Suspect
 import toucanrelay.core.quarantine.TargetRun
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.ManualClock
@@ -15,11 +16,21 @@
 private const val STEP_MILLISECONDS = 50L
 private const val DIGEST_STEPS = 4
 private const val FAR_DIGEST_STEPS = 12
-private const val CRASHES_TO_KNOW = 5
+private const val CRASHES_TO_KNOW = 3
 private const val EXCHANGE_MILLISECONDS = 4_000L
 
-/** Gateways that exchange evidence over lossy digests, and targets that crash on one part and at random. */
-private class CrashingPartSimulation(
+/** What the targets of a simulation crash on. */
+private enum class CrashCause {
+    /** A part, with which several requests come. */
+    PROMPT_PART,
+
+    /** A request that comes again and shares its parts with sound ones. */
+    REQUEST,
+}
+
+/** Gateways that exchange evidence over lossy digests, and targets that crash on one suspect and at random. */
+private class CrashQuarantineSimulation(
+    private val cause: CrashCause,
     private val lostDigests: Double,
     private val otherCrashesPerSecond: Double,
 ) {
@@ -27,21 +38,21 @@
     private val random = Random(SEED)
     private val gateways = MutableList(GATEWAYS) { gateway() }
     private var crashes = 0
-    private var fifthCrashAt: Long? = null
+    private var thirdCrashAt: Long? = null
 
-    /** Requests with the crashing part that reached a target later than the exchange of evidence takes. */
+    /** Crashing requests that reached a target later than the exchange of evidence takes. */
     var lateCrashes = 0
         private set
 
-    /** Requests without the part, by whether they were sent to a target. */
+    /** Sound requests, by whether they were sent to a target. */
     val soundRequests = mutableMapOf(true to 0, false to 0)
 
     private class Member(
-        val quarantine: PromptPartQuarantine,
-        val exchange: PartEvidenceExchange,
+        val quarantine: CrashQuarantine,
+        val exchange: CrashEvidenceExchange,
     )
 
-    fun run(seconds: Int, onSecond: CrashingPartSimulation.(Int) -> Unit = {}) {
+    fun run(seconds: Int, onSecond: CrashQuarantineSimulation.(Int) -> Unit = {}) {
         repeat(seconds * STEPS_PER_SECOND) { step ->
             clock.advance(STEP_MILLISECONDS)
             if (step % STEPS_PER_SECOND == 0) onSecond(step / STEPS_PER_SECOND)
@@ -57,37 +68,49 @@
         gateways[index] = gateway()
     }
 
-    private fun gateway(): Member = PromptPartQuarantine(clock).let { Member(it, PartEvidenceExchange(it, clock)) }
+    private fun gateway(): Member = CrashQuarantine(clock).let { Member(it, CrashEvidenceExchange(it, clock)) }
+
+    private fun badSuspects(): List<Suspect> =
+        when (cause) {
+            CrashCause.PROMPT_PART -> listOf(commonPart(), Suspect.PromptPart("bad"), soundRequest())
+            CrashCause.REQUEST -> listOf(commonPart(), ownPart(), Suspect.Request("bad"))
+        }
 
     private fun sendBad() {
-        val parts = listOf("common-${random.nextInt(COMMON_PARTS)}", "bad")
+        val suspects = badSuspects()
         val gateway = gateways.random(random)
-        if (gateway.quarantine.quarantinedPart(parts) != null) return
-        val knownSince = fifthCrashAt
+        if (gateway.quarantine.quarantined(suspects) != null) return
+        val knownSince = thirdCrashAt
         if (knownSince != null && clock.nowMilliseconds() > knownSince + EXCHANGE_MILLISECONDS) lateCrashes++
-        crash(listOf(gateway to parts))
+        crash(listOf(gateway to suspects))
         crashes++
-        if (crashes == CRASHES_TO_KNOW) fifthCrashAt = clock.nowMilliseconds()
+        if (crashes == CRASHES_TO_KNOW) thirdCrashAt = clock.nowMilliseconds()
     }
 
     /** A target crashes that has [culprits] and sound requests of several gateways to answer. */
-    private fun crash(culprits: List<Pair<Member, List<String>>>) {
+    private fun crash(culprits: List<Pair<Member, List<Suspect>>>) {
         val number = random.nextInt()
         val address = TargetAddress("10.0.0.${random.nextInt(TARGETS)}", 1)
         val run = TargetRun(TargetId("target-$number"), Incarnation(clock.nowMilliseconds()), address)
-        val bystanders = List(BYSTANDERS) { gateways.random(random) to soundParts() }
-        (bystanders + culprits).forEach { (gateway, parts) -> gateway.quarantine.recordCrash(run, parts) }
+        val bystanders = List(BYSTANDERS) { gateways.random(random) to soundSuspects() }
+        (bystanders + culprits).forEach { (gateway, suspects) -> gateway.quarantine.recordCrash(run, suspects) }
     }
 
     private fun sendSound() {
         val gateway = gateways.random(random)
-        val parts = soundParts()
-        val isSent = gateway.quarantine.quarantinedPart(parts) == null
+        val suspects = soundSuspects()
+        val isSent = gateway.quarantine.quarantined(suspects) == null
         soundRequests.merge(isSent, 1, Int::plus)
-        if (isSent) gateway.quarantine.recordAnswer(parts)
+        if (isSent) gateway.quarantine.recordAnswer(suspects)
     }
 
-    private fun soundParts() = listOf("common-${random.nextInt(COMMON_PARTS)}", "own-${random.nextInt(OWN_PARTS)}")
+    private fun soundSuspects(): List<Suspect> = listOf(commonPart(), ownPart(), soundRequest())
+
+    private fun commonPart() = Suspect.PromptPart("common-${random.nextInt(COMMON_PARTS)}")
+
+    private fun ownPart() = Suspect.PromptPart("own-${random.nextInt(OWN_PARTS)}")
+
+    private fun soundRequest() = Suspect.Request("sound-${random.nextInt(SOUND_REQUESTS)}")
 
     private fun exchangeDigests(step: Int) {
         val isFar = step % FAR_DIGEST_STEPS == 0
@@ -111,23 +134,26 @@
         const val BYSTANDERS = 12
         const val COMMON_PARTS = 4
         const val OWN_PARTS = 400
+        const val SOUND_REQUESTS = 5_000
     }
 }
 
-class CrashingPartSimulationTest :
+class CrashQuarantineSimulationTest :
     DescribeSpec({
-        listOf(0.0, 0.3, 0.7).forEach { lost ->
-            describe("a fleet that loses $lost of its digests, with targets that crash on a part and at random") {
-                val simulation = CrashingPartSimulation(lost, otherCrashesPerSecond = 0.5)
-                simulation.run(seconds = 90) { second -> if (second % 10 == 9) replace(second / 10) }
-
-                it("sends at most three more requests with the part once members could know of five crashes") {
-                    simulation.lateCrashes shouldBeLessThanOrEqual 3
-                }
-
-                it("goes on sending the sound requests") {
-                    simulation.soundRequests.getValue(true) shouldBeGreaterThan 10_000
-                    simulation.soundRequests.getValue(false) shouldBe 0
+        CrashCause.entries.forEach { cause ->
+            listOf(0.0, 0.3, 0.7).forEach { lost ->
+                describe("a fleet that loses $lost of its digests, with targets that crash on a $cause and at random") {
+                    val simulation = CrashQuarantineSimulation(cause, lost, otherCrashesPerSecond = 0.5)
+                    simulation.run(seconds = 90) { second -> if (second % 10 == 9) replace(second / 10) }
+
+                    it("sends at most three more of the crashing requests once members could know of three crashes") {
+                        simulation.lateCrashes shouldBeLessThanOrEqual 3
+                    }
+
+                    it("goes on sending the sound requests") {
+                        simulation.soundRequests.getValue(true) shouldBeGreaterThan 10_000
+                        simulation.soundRequests.getValue(false) shouldBe 0
+                    }
                 }
             }
         }
