Soak: targets that state a limit and crash on a request

A request on which targets crash comes to the gateways in turn each 0.6 s, and all targets state a limit for 9 of 12 seconds, beside the faults of before. A run fails if a target gets more than 1.5 times its limit and 5 requests in 4 s, or if the request is sent on more than three times later than 4 s after the third crash, by gateways that were not restarted or paused shortly before. Bodies differ now, as each call is another request.

--- a/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.PoolOptions
 import io.vertx.kotlin.coroutines.coAwait
+import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.coroutineScope
@@ -27,6 +28,7 @@
 import toucanrelay.standins.LinkSettings
 import java.net.BindException
 import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicLongArray
 
 private const val LOOPBACK = "127.0.0.1"
 private const val VALID_KEY = "key-kept"
@@ -37,6 +39,11 @@
 private const val CALL_PAUSE_MILLISECONDS = 15L
 private const val CALL_TIMEOUT_MILLISECONDS = 6_000L
 private const val ANSWER_PAUSE_MILLISECONDS = 15L
+private const val CRASHING_CALL_PERIOD_MILLISECONDS = 600L
+private const val CRASHING_BODY = "crash"
+private const val LIMIT_PER_SECOND = 15.0
+private const val LIMIT_START_MILLISECONDS = 2_000L
+private const val LIMIT_END_MILLISECONDS = 11_000L
 private const val RECOVERY_TIMEOUT_MILLISECONDS = 15_000L
 
 /**
@@ -48,7 +55,16 @@
     private val clock = MonotonicClock
     private val vertx = Vertx.vertx()
     private val store = StoreStandIn(vertx)
-    private val targets = List(FaultPlan.GATEWAYS) { TargetStandIn(vertx, "target-$it") }
+    private val standIns = List(FaultPlan.GATEWAYS) { TargetStandIn(vertx, "target-$it") }
+    private lateinit var targets: List<CrashableTarget>
+    private val arrivals = TargetArrivals()
+    private val scope = CoroutineScope(vertx.dispatcher())
+
+    /** Until when each gateway counts as disturbed by a restart or a pause. */
+    private val disturbedUntilMilliseconds = AtomicLongArray(FaultPlan.GATEWAYS)
+
+    @Volatile
+    private var loadStartedAtMilliseconds = Long.MAX_VALUE / 2
     private val caller =
         CallerStandIn(
             vertx.createHttpClient(
@@ -59,7 +75,6 @@
     private val history = CallHistory()
     private lateinit var ports: List<List<Int>>
     private lateinit var storeLinks: List<CuttableLink>
-    private lateinit var targetLinks: List<CuttableLink>
     private lateinit var gateways: List<GatewayProcess>
     private var calls = 0
 
@@ -68,29 +83,29 @@
         try {
             start()
             val revokedAt = runLoad()
-            val violations = history.violations(REVOKED_KEY, revokedAt + REVOCATION_MILLISECONDS) + awaitRecovery()
-            return violations + listOfNotNull("no call succeeded".takeIf { history.successes == 0 })
+            val violations =
+                history.violations(REVOKED_KEY, revokedAt + REVOCATION_MILLISECONDS) +
+                    arrivals.violations(LIMIT_PER_SECOND) + awaitRecovery()
+            return violations +
+                listOfNotNull(
+                    "no call succeeded".takeIf { history.successes == 0 },
+                    "no target crashed".takeIf { arrivals.crashes == 0 },
+                )
         } finally {
             gateways.forEach { it.kill() }
-            (storeLinks + targetLinks).forEach { it.stop() }
+            (storeLinks + targets.map { it.link }).forEach { it.stop() }
             vertx.close().coAwait()
         }
     }
 
     private suspend fun start() {
         store.start()
-        targets.forEach { it.start() }
-        targets.forEach { it.script = TargetScript(::answer) }
+        standIns.forEach { it.start() }
+        standIns.forEach { it.script = TargetScript(::answer) }
         store.putConfiguration(configuration(1, VALID_KEY, REVOKED_KEY))
-        storeLinks = targets.indices.map { CuttableLink(LinkSettings(store.address.port), vertx) }
-        targetLinks = targets.map { CuttableLink(LinkSettings(it.port), vertx) }
-        targets.zip(targetLinks).forEach { (target, link) ->
-            val registration = target.registration("service", "domain", slots = SLOTS)
-            store.putRegistration(
-                target.id,
-                registration.replace("$LOOPBACK:${target.port}", "$LOOPBACK:${link.start()}"),
-            )
-        }
+        storeLinks = standIns.indices.map { CuttableLink(LinkSettings(store.address.port), vertx) }
+        targets = standIns.map { CrashableTarget(it, CuttableLink(LinkSettings(it.port), vertx), store) }
+        targets.forEach { it.start() }
         val directory = GatewayProcess.directoryOf(seed)
         val storePorts = storeLinks.map { it.start() }
         ports = freePorts()
@@ -103,6 +118,8 @@
     private suspend fun runLoad(): Long =
         coroutineScope {
             val startedAt = clock.nowMilliseconds()
+            loadStartedAtMilliseconds = startedAt
+            val crashing = launch { sendCrashingRequests() }
             val callers = List(CALLERS) { caller -> launch { callUntilCancelled(caller) } }
             val faults = FaultPlan(seed).faults.map { fault -> launch(Dispatchers.IO) { inject(fault) } }
             delay(REVOCATION_START_MILLISECONDS)
@@ -110,7 +127,7 @@
             val revokedAt = clock.nowMilliseconds()
             faults.forEach { it.join() }
             delay(maxOf(0, startedAt + FaultPlan.LOAD_MILLISECONDS - clock.nowMilliseconds()))
-            callers.forEach { it.cancel() }
+            (callers + crashing).forEach { it.cancel() }
             revokedAt
         }
 
@@ -118,18 +135,18 @@
         delay(fault.startMilliseconds)
         val gateway = gateways[fault.index]
         val storeLink = storeLinks[fault.index]
-        val targetLink = targetLinks[fault.index]
+        val targetLink = targets[fault.index].link
         when (fault.kind) {
             FaultKind.KILL_GATEWAY -> {
-                restart(gateway) { gateway.kill() }
+                disturb(fault) { restart(gateway) { gateway.kill() } }
             }
 
             FaultKind.STOP_GATEWAY -> {
-                restart(gateway) { gateway.stop() }
+                disturb(fault) { restart(gateway) { gateway.stop() } }
             }
 
             FaultKind.PAUSE_GATEWAY -> {
-                applyFor(fault, { gateway.pause() }, { gateway.resume() })
+                disturb(fault) { applyFor(fault, { gateway.pause() }, { gateway.resume() }) }
             }
 
             FaultKind.CUT_STORE_LINK -> {
@@ -165,6 +182,13 @@
         }
     }
 
+    /** Marks the gateway of [fault] as disturbed while [action] runs and for a while after it. */
+    private suspend fun disturb(fault: Fault, action: suspend () -> Unit) {
+        disturbedUntilMilliseconds.set(fault.index, Long.MAX_VALUE)
+        action()
+        disturbedUntilMilliseconds.set(fault.index, clock.nowMilliseconds() + CONTACT_MILLISECONDS)
+    }
+
     private suspend fun serveStore() {
         store.behaviour = StoreBehaviour.SERVE
     }
@@ -188,16 +212,28 @@
             val number = calls++
             val kind = CallKind.entries[number % CallKind.entries.size]
             val key = if (number % 2 == 0) VALID_KEY else REVOKED_KEY
-            call("seed-$seed-$caller-$number", kind, key, number % FaultPlan.GATEWAYS)
+            val gateway = number % FaultPlan.GATEWAYS
+            call("seed-$seed-$caller-$number-$gateway", kind, key, gateway)
             delay(CALL_PAUSE_MILLISECONDS)
         }
     }
 
+    /** Sends the same request, on which targets crash, to the gateways in turn. */
+    private suspend fun CoroutineScope.sendCrashingRequests() {
+        while (isActive) {
+            val number = calls++
+            val gateway = number % FaultPlan.GATEWAYS
+            call("crash-$seed-$number-$gateway", CallKind.READ, VALID_KEY, gateway, CRASHING_BODY)
+            delay(CRASHING_CALL_PERIOD_MILLISECONDS)
+        }
+    }
+
     private suspend fun call(
         id: String,
         kind: CallKind,
         key: String,
         gateway: Int,
+        body: String = id,
     ): Int? {
         val sentAt = clock.nowMilliseconds()
         // A failed, incomplete or late response is recorded with a null status.
@@ -209,6 +245,7 @@
                         kind.path,
                         key,
                         id,
+                        body,
                         deadlineMilliseconds = DEADLINE_MILLISECONDS,
                     )
                 runCatching { response.coAwait() }.getOrNull()
@@ -219,6 +256,18 @@
 
     private fun answer(request: HttpServerRequest, received: ReceivedRequest, standIn: TargetStandIn) {
         history.recordRun(received.id)
+        val now = clock.nowMilliseconds()
+        val isUndisturbed = now >= disturbedUntilMilliseconds.get(received.id.substringAfterLast('-').toInt())
+        if (received.body == CRASHING_BODY) {
+            arrivals.recordCrash(now, isUndisturbed)
+            scope.launch { targets.first { it.standIn === standIn }.crash() }
+            return
+        }
+        val limitStart = loadStartedAtMilliseconds + LIMIT_START_MILLISECONDS
+        if (now in limitStart until loadStartedAtMilliseconds + LIMIT_END_MILLISECONDS) {
+            request.response().putHeader("Server-Limit", "$LIMIT_PER_SECOND")
+            if (isUndisturbed) arrivals.recordLimited(standIn.id, now, limitStart)
+        }
         if (!received.path.startsWith("/streams/")) {
             vertx.setTimer(ANSWER_PAUSE_MILLISECONDS) { standIn.respond(request, received, "whole ${received.id}") }
             return
@@ -253,7 +302,8 @@
             gateways.indices.mapNotNull { gateway ->
                 var isServing = false
                 while (!isServing && clock.nowMilliseconds() < deadline) {
-                    isServing = call("recovery-$seed-${calls++}", CallKind.READ, VALID_KEY, gateway) == STATUS_OK
+                    isServing =
+                        call("recovery-$seed-${calls++}-$gateway", CallKind.READ, VALID_KEY, gateway) == STATUS_OK
                     if (!isServing) delay(RECOVERY_RETRY_MILLISECONDS)
                 }
                 if (isServing) null else "gateway $gateway does not serve requests after all faults have ended"
@@ -317,7 +367,6 @@
     }
 
     private companion object {
-        const val SLOTS = 32
         const val STATUS_OK = 200
         const val DEADLINE_MILLISECONDS = 4_000L
         const val RECOVERY_RETRY_MILLISECONDS = 100L
