--- a/core/src/main/kotlin/toucanrelay/core/allowance/RateDivision.kt
+++ b/core/src/main/kotlin/toucanrelay/core/allowance/RateDivision.kt
@@ -8,8 +8,9 @@
 /**
  * Divides a limit on the request rate of a target among the instances of the fleet without coordination.
  *
- * A few instances send to the target, chosen by rendezvous hashing weighted with their demand, and divide the rate by it. Instances with different views of the fleet choose mostly the same senders. The number of
- * senders is bounded, since each of them may send one request at any moment, however small its part of the rate is.
+ * Instances with much demand, and a few others chosen by rendezvous hashing weighted with demand, send to the target and
+ * divide the rate by their demand. Instances with different views of the fleet choose mostly the same senders. The number
+ * of senders is bounded, since each of them may send one request at any moment, however small its part of the rate is.
  */
 public object RateDivision {
     /**
--- a/core/src/main/kotlin/toucanrelay/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/toucanrelay/core/quarantine/CrashEvidence.kt
@@ -9,8 +9,8 @@
  *
  * Evidence of several members is merged in any order and any number of times with the same result.
  *
- * @property crashes clock reading of each crash of a target that had written no answer yet on it.
- * @property answeredAtMilliseconds clock reading when a target last wrote an answer on it; null if it never did.
+ * @property crashes clock reading of each crash of a target that was processing a request with the suspect.
+ * @property answeredAtMilliseconds clock reading when a target last answered a request with it; null if it never did.
  */
 public data class CrashEvidence(
     public val crashes: ImmutableMap<TargetRun, Long>,
