Space requests with the token bucket that the project has

RequestPacer kept a level, a time and a refill of its own beside TokenBucket. It now makes a new bucket with the former level when the rate changes. A target without a limit costs no work in TargetPacing any more, which runs for each target and each attempt to place a request.

--- a/core/src/main/kotlin/toucanrelay/core/allowance/RequestPacer.kt
+++ b/core/src/main/kotlin/toucanrelay/core/allowance/RequestPacer.kt
@@ -1,7 +1,7 @@
 package toucanrelay.core.allowance
 
+import toucanrelay.core.limit.TokenBucket
 import toucanrelay.core.time.Clock
-import kotlin.math.ceil
 
 /**
  * Spaces the requests to one target so that they keep a rate that changes.
@@ -11,52 +11,33 @@
 public class RequestPacer(
     private val clock: Clock,
 ) {
-    private var level = 0.0
-    private var filledAtMilliseconds = clock.nowMilliseconds()
+    private var bucket: TokenBucket? = null
     private var sentAtMilliseconds = Long.MIN_VALUE / 2
 
     /** Requests per second that may be sent; null for any number. */
     public var ratePerSecond: Double? = null
         set(value) {
-            refill()
-            if (field == null && value != null) level = levelSinceLastSent(value)
+            bucket = value?.let { TokenBucket(clock, it, capacity(it), bucket?.level ?: levelSinceLastSent(it)) }
             field = value
         }
 
     /** Returns whether a request may be sent now. */
-    public fun maySend(): Boolean {
-        if (ratePerSecond == null) return true
-        refill()
-        return level >= 1.0
-    }
+    public fun maySend(): Boolean = millisecondsUntilNext() == 0L
 
     /** Records that a request is sent, even if [maySend] does not allow it. */
     public fun recordSent() {
         sentAtMilliseconds = clock.nowMilliseconds()
-        val rate = ratePerSecond ?: return
-        refill()
-        level = maxOf(level - 1.0, -capacity(rate))
+        bucket?.take(1.0)
     }
 
     /** Returns the milliseconds until a request may be sent; null if the rate is zero. */
     public fun millisecondsUntilNext(): Long? {
-        val rate = ratePerSecond ?: return 0
-        refill()
-        if (level >= 1.0) return 0
-        return if (rate > 0) ceil((1.0 - level) / rate * MILLISECONDS_PER_SECOND).toLong() else null
+        val limited = bucket ?: return 0
+        return limited.millisecondsUntil().takeIf { it != Long.MAX_VALUE }
     }
 
     private fun levelSinceLastSent(rate: Double): Double =
-        minOf(capacity(rate), (clock.nowMilliseconds() - sentAtMilliseconds) * rate / MILLISECONDS_PER_SECOND)
-
-    private fun refill() {
-        val now = clock.nowMilliseconds()
-        val rate = ratePerSecond
-        if (rate != null) {
-            level = minOf(capacity(rate), level + (now - filledAtMilliseconds) * rate / MILLISECONDS_PER_SECOND)
-        }
-        filledAtMilliseconds = now
-    }
+        (clock.nowMilliseconds() - sentAtMilliseconds) * rate / MILLISECONDS_PER_SECOND
 
     private fun capacity(rate: Double) = 1.0 + rate * BURST_SECONDS
 
--- a/core/src/main/kotlin/toucanrelay/core/allowance/TargetPacing.kt
+++ b/core/src/main/kotlin/toucanrelay/core/allowance/TargetPacing.kt
@@ -29,6 +29,7 @@
      * @param demands returns the requests per second that callers ask of each instance; called only now and then.
      */
     public fun update(limits: List<FleetRateLimit>, self: InstanceId, demands: () -> Map<InstanceId, Double>) {
+        if (limits.isEmpty() && !isLimited) return
         val fleetRate = limits.minOfOrNull { it.requestsPerSecond }
         val isCurrent = fleetRate == fleetRequestsPerSecond && clock.nowMilliseconds() < validUntilMilliseconds
         fleetRequestsPerSecond = fleetRate
--- a/core/src/main/kotlin/toucanrelay/core/limit/TokenBucket.kt
+++ b/core/src/main/kotlin/toucanrelay/core/limit/TokenBucket.kt
@@ -6,14 +6,16 @@
  * Limits a rate while allowing short bursts.
  *
  * @property ratePerSecond amount added per second.
- * @property capacity maximum burst; the bucket starts full.
+ * @property capacity maximum burst.
+ * @param initialLevel amount at the start, at most the capacity; the bucket starts full by default.
  */
 public class TokenBucket(
     private val clock: Clock,
     private val ratePerSecond: Double,
     private val capacity: Double,
+    initialLevel: Double = capacity,
 ) {
-    private var level = capacity
+    private var filledLevel = minOf(initialLevel, capacity)
     private var filledAtMilliseconds = clock.nowMilliseconds()
 
     init {
@@ -21,11 +23,18 @@
         require(capacity > 0) { "the capacity must be positive: $capacity" }
     }
 
+    /** The amount in the bucket now; negative if there is a debt. */
+    public val level: Double
+        get() {
+            refill()
+            return filledLevel
+        }
+
     /** Takes [amount] if the bucket contains that much; returns whether it did. */
     public fun tryTake(amount: Double = 1.0): Boolean {
         refill()
-        if (level < amount) return false
-        level -= amount
+        if (filledLevel < amount) return false
+        filledLevel -= amount
         return true
     }
 
@@ -36,7 +45,7 @@
      */
     public fun take(amount: Double) {
         refill()
-        level = maxOf(level - amount, -capacity)
+        filledLevel = maxOf(filledLevel - amount, -capacity)
     }
 
     /**
@@ -45,7 +54,7 @@
      */
     public fun millisecondsUntil(amount: Double = 1.0): Long {
         refill()
-        val missing = amount - level
+        val missing = amount - filledLevel
         return when {
             missing <= 0 -> 0
             ratePerSecond == 0.0 || amount > capacity -> Long.MAX_VALUE
@@ -55,7 +64,7 @@
 
     private fun refill() {
         val now = clock.nowMilliseconds()
-        level = minOf(capacity, level + (now - filledAtMilliseconds) * ratePerSecond / MILLISECONDS_PER_SECOND)
+        filledLevel = minOf(capacity, filledLevel + (now - filledAtMilliseconds) * ratePerSecond / MILLISECONDS_PER_SECOND)
         filledAtMilliseconds = now
     }
 
