Work out what a request is suspected of only while there is evidence of crashes

The fingerprint of each request was computed at its arrival, also of those that are refused when load is at its worst, and the list of its suspects was built anew at each attempt to place it. Both now happen once, when an answer is recorded or when there is evidence. The reload of settings reads the released suspects in one line again.

All Crash* tests, SettingsLoaderTest and RequestFingerprintTest pass unchanged.

--- a/core/src/main/kotlin/toucanrelay/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/toucanrelay/core/quarantine/CrashQuarantine.kt
@@ -32,6 +32,10 @@
     private val cases = LinkedHashMap<Suspect, Case>()
     private val answeredAtMilliseconds = LinkedHashMap<Suspect, Long>(INITIAL_ANSWERS, LOAD_FACTOR, true)
 
+    /** Whether there is any evidence; without it no suspect need be worked out. */
+    public val hasEvidence: Boolean
+        get() = cases.isNotEmpty()
+
     /** Records that [run] crashed while it was processing requests of [suspects]. */
     public fun recordCrash(run: TargetRun, suspects: Collection<Suspect>) {
         val now = clock.nowMilliseconds()
@@ -78,15 +82,13 @@
 
     /** Returns the first of [suspects] that is quarantined, or null. */
     public fun quarantined(suspects: Collection<Suspect>): Suspect? =
-        if (cases.isEmpty()) null else suspects.firstOrNull { conditionOf(it) == SuspectCondition.QUARANTINED }
+        suspects.firstOrNull { conditionOf(it) == SuspectCondition.QUARANTINED }
 
     /** Returns the addresses at which targets crashed on any of [suspects], unless answers refute that they caused it. */
-    public fun crashAddresses(suspects: Collection<Suspect>): Set<TargetAddress> {
-        if (cases.isEmpty()) return emptySet()
-        return suspects
+    public fun crashAddresses(suspects: Collection<Suspect>): Set<TargetAddress> =
+        suspects
             .filter { conditionOf(it) != SuspectCondition.SOUND }
             .flatMapTo(HashSet()) { suspect -> evidenceOn(suspect).unrefutedCrashes.keys.map { it.address } }
-    }
 
     /** Returns the evidence on [suspect]. */
     public fun evidenceOn(suspect: Suspect): CrashEvidence = cases[suspect]?.evidence ?: CrashEvidence.NONE
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -95,14 +95,8 @@
             .load(settingsFile)
             .onSuccess { loaded ->
                 components.settings = loaded
-                vertx.runOnContext {
-                    loaded.releasedSuspects
-                        .mapNotNull {
-                            Suspect.parse(
-                                it,
-                            )
-                        }.forEach { components.quarantine.release(it) }
-                }
+                val released = loaded.releasedSuspects.mapNotNull { Suspect.parse(it) }
+                vertx.runOnContext { released.forEach { components.quarantine.release(it) } }
                 components.log.write("reload", "instance" to loaded.instance)
             }.onFailure { components.log.write("reload-failed", "detail" to it.detail) }
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -104,13 +104,13 @@
         pool.serving(request.service).filter { request.allows(regionOf(it)) }
 
     /**
-     * Returns the targets of [serving] at whose addresses nothing crashed on a suspect of [request], or all if there are none.
+     * Returns the targets of [serving] at whose addresses nothing crashed on a suspect of [request]; all if there are none.
      *
      * Crashes at several addresses tell sooner whether the request is their cause or one of the targets is.
      */
     private fun preferUnharmed(serving: List<ServingTarget>, request: CallerRequest): List<ServingTarget> {
+        if (!quarantine.hasEvidence) return serving
         val crashAddresses = quarantine.crashAddresses(request.suspects)
-        if (crashAddresses.isEmpty()) return serving
         return serving.filter { it.registered.registration.address !in crashAddresses }.ifEmpty { serving }
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -109,14 +109,16 @@
 
     /** Returns why the request must not be sent to a target now, or null if it may be sent. */
     private fun reasonNotToSend(): Refusal? {
-        val suspect = dependencies.quarantine.quarantined(request.suspects)
-        if (suspect != null) {
-            progress.detail = describeQuarantine(suspect)
+        quarantinedSuspect()?.let {
+            progress.detail = describeQuarantine(it)
             return Refusal.QUARANTINED
         }
         return Refusal.STALE_CONFIGURATION.takeIf { !dependencies.intake.isKeyCurrent(request.organisation) }
     }
 
+    private fun quarantinedSuspect(): Suspect? =
+        if (dependencies.quarantine.hasEvidence) dependencies.quarantine.quarantined(request.suspects) else null
+
     private fun describeQuarantine(suspect: Suspect): String {
         val crashed =
             dependencies.quarantine
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
@@ -49,7 +49,8 @@
         get() = organisation?.rank ?: route.rank
 
     /** The prompt parts that other requests may share with this one, as possible causes of crashes. */
-    val suspectParts: List<Suspect> = prompt?.sharedParts?.map { Suspect.PromptPart(it.id) }.orEmpty()
+    private val suspectParts: List<Suspect>
+        get() = prompt?.sharedParts?.map { Suspect.PromptPart(it.id) }.orEmpty()
 
     /** The request itself as a possible cause of crashes; the same for each repetition by its caller. */
     val suspectRequest: Suspect by lazy(LazyThreadSafetyMode.NONE) {
@@ -58,8 +59,7 @@
     }
 
     /** All that targets may crash on when they run the request. */
-    val suspects: List<Suspect>
-        get() = suspectParts + suspectRequest
+    val suspects: List<Suspect> by lazy(LazyThreadSafetyMode.NONE) { suspectParts + suspectRequest }
 
     /** Identifies the organisation and the regions under which the request's use of the engines is counted. */
     val usageKey: UsageKey
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/GatewaySettings.kt
@@ -34,8 +34,8 @@
  * @property readinessAddress `host:port` at which the load balancer probes whether the process is ready.
  * @property memberPorts first and last port for traffic between instances; the same on every instance.
  * @property storeAddress `host:port` of the platform's store.
- * @property releasedSuspects prompt parts and requests that operators declare sound when the settings are reloaded, in the
- *   text form of [Suspect].
+ * @property releasedSuspects prompt parts and requests that operators declare sound when the settings are reloaded, in
+ *   the text form of [Suspect].
  * @property maxDescriptors number of files and sockets that the process may have open.
  */
 @Serializable
