--- a/core/src/main/kotlin/toucanrelay/core/allowance/RateDivision.kt
+++ b/core/src/main/kotlin/toucanrelay/core/allowance/RateDivision.kt
@@ -8,9 +8,10 @@
 /**
  * Divides a limit on the request rate of a target among the instances of the fleet without coordination.
  *
- * Instances with much demand, and a few others chosen by rendezvous hashing weighted with demand, send to the target and
- * divide the rate by their demand. Instances with different views of the fleet choose mostly the same senders. The number
- * of senders is bounded, since each of them may send one request at any moment, however small its part of the rate is.
+ * Instances with much demand, and a few others chosen by rendezvous hashing weighted with demand, send to the target
+ * and divide the rate by their demand. Instances with different views of the fleet choose mostly the same senders. The
+ * number of senders is bounded, since each of them may send one request at any moment, however small its part of the
+ * rate is.
  */
 public object RateDivision {
     /**
@@ -33,8 +34,8 @@
     /**
      * Returns the relative parts of the senders.
      *
-     * Instances with much of the demand are always senders. Of the others a few are, each with the same part, so that over
-     * many targets each instance gets in proportion to its demand.
+     * Instances with much of the demand are always senders. Of the others a few are, each with the same part, so that
+     * over many targets each instance gets in proportion to its demand.
      */
     private fun partsOf(target: TargetId, weights: Map<InstanceId, Double>, count: Int): Map<InstanceId, Double> {
         if (weights.size <= count) return weights
--- a/core/src/main/kotlin/toucanrelay/core/allowance/StatedLimits.kt
+++ b/core/src/main/kotlin/toucanrelay/core/allowance/StatedLimits.kt
@@ -78,7 +78,7 @@
         entry.isUnreadableReported = true
     }
 
-    /** Returns the entry of the run [incarnation], a new one if the known run is an earlier one; null if it is later. */
+    /** Returns the entry of the run [incarnation], a new one if the known run is earlier; null if it is later. */
     private fun entryOf(target: TargetId, incarnation: Incarnation): Entry? {
         val known = entries[target]
         if (known != null && known.incarnation > incarnation) return null
--- a/core/src/main/kotlin/toucanrelay/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/toucanrelay/core/quarantine/CrashQuarantine.kt
@@ -106,8 +106,8 @@
     /**
      * Returns the evidence to share with the other members.
      *
-     * It contains the strongest suspicions and the newest refutations, at most [limit] together and half of it each, so that
-     * neither delays the other. In addition each member shares the new crashes that it saw itself: whatever was at the
+     * It contains the strongest suspicions and the newest refutations, at most [limit] together and half of it each, so
+     * that neither delays the other. In addition each member shares the new crashes that it saw itself: whatever was at the
      * target is a suspect then, and only the evidence of all members tells the cause from the others.
      */
     public fun evidenceToShare(limit: Int): Map<Suspect, CrashEvidence> {
--- a/core/src/main/kotlin/toucanrelay/core/quarantine/QuarantinePolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/quarantine/QuarantinePolicy.kt
@@ -15,8 +15,8 @@
 /**
  * Judges suspects by the crashes of targets that were processing them.
  *
- * Many requests are at a target when it crashes, so a single crash says little. What causes crashes never gets an answer,
- * while the sound requests at the same targets do, before or after.
+ * Many requests are at a target when it crashes, so a single crash says little. What causes crashes never gets an
+ * answer, while the sound requests at the same targets do, before or after.
  */
 public object QuarantinePolicy {
     /** Returns the condition of a suspect with [evidence] at [nowMilliseconds]. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -104,7 +104,8 @@
         pool.serving(request.service).filter { request.allows(regionOf(it)) }
 
     /**
-     * Returns the targets of [serving] at whose addresses nothing crashed on a suspect of [request]; all if there are none.
+     * Returns the targets of [serving] at whose addresses nothing crashed on a suspect of [request]; all if there are
+     * none.
      *
      * Crashes at several addresses tell sooner whether the request is their cause or one of the targets is.
      */
--- a/gateway/src/test/kotlin/toucanrelay/gateway/CrashingFleetFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/CrashingFleetFixture.kt
@@ -20,7 +20,8 @@
 internal const val CRASHING_BODY = "bad body"
 
 /**
- * Gateways that know each other, and targets that crash on [CRASHING_PART] or [CRASHING_BODY] and start again shortly after.
+ * Gateways that know each other, and targets that crash on [CRASHING_PART] or [CRASHING_BODY] and start again shortly
+ * after.
  */
 internal class CrashingFleetFixture(
     private val isModelService: Boolean = true,
--- a/gateway/src/test/kotlin/toucanrelay/gateway/CrashingRequestTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/CrashingRequestTest.kt
@@ -26,7 +26,7 @@
 
                 afterEach { fixture.stop() }
 
-                /** Sends the request to the gateways in turn, and between its repetitions others with the same prompt. */
+                /** Sends the request to the gateways in turn, and others with the same prompt in between. */
                 suspend fun sendCrashing(): Int {
                     val statuses =
                         (0 until REQUESTS).map { number ->
