Test answers whose head a target breaks off, byte by byte

A report of another operator: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -6,6 +6,9 @@
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.json.Json
@@ -23,6 +26,9 @@
 internal const val TIMEOUT_MILLISECONDS = 20_000L
 private const val MAX_CALLER_CONNECTIONS = 100
 
+/** More than one target takes. */
+private const val PARALLEL_REQUESTS = 12
+
 /** A gateway with a stand-in for the store and stand-ins for two targets, on free ports of the loopback interface. */
 internal class GatewayFixture(
     mayRetry: Boolean = true,
@@ -61,17 +67,36 @@
         targets.forEach { it.receivedRequests.clear() }
     }
 
+    /** Keeps the gateway's event loop busy for [milliseconds]. */
+    suspend fun occupyEventLoop(milliseconds: Long) = instance.occupyEventLoop(milliseconds)
+
     suspend fun stop() {
         instance.stop()
         vertx.close().coAwait()
     }
 
+    /** Stops the gateway at once. */
+    suspend fun kill() {
+        instance.kill()
+        vertx.close().coAwait()
+    }
+
+    /** Sends requests to [path], several at the same time, until [target] has received one. */
+    suspend fun reach(target: TargetStandIn, path: String = "/calls/x") {
+        target.receivedRequests.clear()
+        eventually {
+            coroutineScope { List(PARALLEL_REQUESTS) { async { runCatching { send(path) } } }.awaitAll() }
+            target.receivedRequests.isNotEmpty()
+        }
+    }
+
     fun configuration(version: Long, vararg keys: String = arrayOf(KEY)) =
         configurationDocument(version) {
             route("/calls/", "models", "idempotent")
             route("/orders/", "models", "non_idempotent", attempts = 2)
             route("/streams/", "models", "streaming", isResumable = true)
             route("/chats/", "models", "streaming", isResumable = false)
+            route("/patient/", "models", "idempotent", latencyObjectiveMilliseconds = 4_000)
             route("/open/", "models", "idempotent", isAnonymous = true)
             route("/far/", "models", "idempotent", regions = listOf("elsewhere"))
             service("models", coldPerSecond = 4.0, engineMemoryTokens = 100_000)
@@ -83,8 +108,11 @@
         key: String? = KEY,
         id: String = "id-${System.nanoTime()}",
         body: String = "body",
+        deadlineMilliseconds: Long = 5_000,
     ): ReceivedResponse =
-        withTimeout(TIMEOUT_MILLISECONDS) { caller.post(instance.port, path, key, id, body).coAwait() }
+        withTimeout(TIMEOUT_MILLISECONDS) {
+            caller.post(instance.port, path, key, id, body, deadlineMilliseconds).coAwait()
+        }
 
     /** Returns whether the answer to a request to [path] is cut off so that the caller detects it. */
     suspend fun isAborted(path: String): Boolean = runCatching { send(path) }.isFailure
--- a/gateway/src/test/kotlin/toucanrelay/gateway/KeptTargetStandIn.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/KeptTargetStandIn.kt
@@ -49,6 +49,16 @@
         socket.close()
     }
 
+    /** Closes the connection in order, right behind what was written. */
+    fun closeAtOnce() = socket.close()
+
+    /** Resets the connection once what was written has arrived. */
+    fun reset() {
+        pause()
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
     private companion object {
         const val PAUSE_MILLISECONDS = 150L
     }
