Take a member's new run for new also if its clock was set back before it started

Cause, found by an audit of all uses of the time of day: a run is numbered by the wall clock of its start. If the clock is set back between two starts, the new run has the lower number, and all others ignored its digests until the old one expired after a minute: its load did not count, it was no reader and not ready in their view.

Change: a lower number is that of an earlier run only while the known run was heard within the last 1.5 s, in which a delayed datagram may still arrive. FleetViewTest has the case; it fails on the code before, where the digest is refused.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -131,7 +131,7 @@
         val now = clock.nowMilliseconds()
         expired.remove(instance)
         val member = members.getOrPut(instance) { Member(address, digest.incarnation, now) }
-        if (isOlder(digest, member.digest)) return false
+        if (isOlder(digest, member)) return false
         member.digest = digest
         member.incarnation = digest.incarnation
         member.lastSeenAtMilliseconds = now
@@ -189,17 +189,26 @@
         return regionOf(FailureDomainId(domain)) == ownRegion
     }
 
-    private fun isOlder(digest: MemberDigest, known: MemberDigest?): Boolean =
-        known != null &&
-            (
-                digest.incarnation < known.incarnation ||
-                    (digest.incarnation == known.incarnation && digest.sequence <= known.sequence)
-            )
+    /**
+     * Returns whether [digest] was sent before the known one of [member].
+     *
+     * A run is numbered by the wall clock, which may have been set back before it started, so a lower number is also that
+     * of a new run once the known one is silent.
+     */
+    private fun isOlder(digest: MemberDigest, member: Member): Boolean {
+        val known = member.digest ?: return false
+        if (digest.incarnation == known.incarnation) return digest.sequence <= known.sequence
+        val silence = clock.nowMilliseconds() - member.lastSeenAtMilliseconds
+        return digest.incarnation < known.incarnation && silence < MAX_DATAGRAM_DELAY_MILLISECONDS
+    }
 
     private companion object {
         /** A member that has sent no digest for this long is assumed to have no requests in flight. */
         const val LIVENESS_TIMEOUT_MILLISECONDS = 2_000L
         const val DEMAND_VALIDITY_MILLISECONDS = 15_000L
+
+        /** Digests of an earlier run may still arrive for this long after it has ended. */
+        const val MAX_DATAGRAM_DELAY_MILLISECONDS = 1_500L
         const val EXPIRY_MILLISECONDS = 60_000L
         const val FAILED_OFFER_BACKOFF_MILLISECONDS = 1_000L
         const val OTHER_REGION_PENALTY_MILLISECONDS = 300L
--- a/gateway/src/test/kotlin/toucanrelay/gateway/member/FleetViewTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/member/FleetViewTest.kt
@@ -74,6 +74,18 @@
                 view.requests() shouldBe 5
             }
 
+            it("comes from a member's new run also if its clock was set back in between") {
+                val clock = ManualClock()
+                val view = view(clock = clock)
+                view.recordDigest(digest(50, requests = 5, incarnation = 9_000), ADDRESS)
+                clock.advance(1_000)
+                view.recordDigest(digest(1, requests = 1, incarnation = 7_000), ADDRESS) shouldBe false
+                clock.advance(600)
+                view.recordDigest(digest(2, requests = 1, incarnation = 7_000), ADDRESS) shouldBe true
+                view.recordDigest(digest(3, requests = 2, incarnation = 7_000), ADDRESS) shouldBe true
+                view.requests() shouldBe 2
+            }
+
             it("comes from a member's later run, whose sequence starts again") {
                 val view = view()
                 view.recordDigest(digest(50, requests = 5), ADDRESS)
