Count the time that a request lay unread also right after a pause of the event loop

Cause: the lag is measured by a timer. After a pause the event loop reads what has arrived before its timers fire, so the requests read then counted as new, did not yield to the loop, and were sent on although their callers had left meanwhile; the end of the connection lies behind the request in the same read.

Change: the lag at a moment is also what the timer is late by already. With it come the delays after which refused callers may return: elsewhere at once, or when a target returns.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/LoopLag.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/LoopLag.kt
@@ -20,6 +20,14 @@
     val milliseconds: Long
         get() = smoothedMilliseconds.toLong()
 
+    /**
+     * Returns the lag at [nowMilliseconds]: the recent lag, or the time by which the timer is late already.
+     *
+     * After a pause the event loop reads what has arrived meanwhile before its timers fire.
+     */
+    fun millisecondsAt(nowMilliseconds: Long): Long =
+        maxOf(milliseconds, nowMilliseconds - lastTickAtMilliseconds - PERIOD_MILLISECONDS)
+
     /** Whether the lag is so long that other processes should serve new requests. */
     val isOverloaded: Boolean
         get() = smoothedMilliseconds >= overloadThresholdMilliseconds
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerExchange.kt
@@ -3,15 +3,19 @@
 import io.vertx.core.http.HttpServerRequest
 import kotlinx.coroutines.Job
 
-/** A request of a caller and how far it has come. */
+/**
+ * A request of a caller and how far it has come.
+ *
+ * @property readAtMilliseconds when its head was read, which may be some time after its arrival.
+ */
 internal class CallerExchange(
     val request: HttpServerRequest,
     val connection: CallerConnection,
     val responder: CallerResponder,
-    nowMilliseconds: Long,
+    val readAtMilliseconds: Long,
 ) {
     private var arrivedBytes = 0L
-    private var progressedAtMilliseconds = nowMilliseconds
+    private var progressedAtMilliseconds = readAtMilliseconds
 
     /** The work on the request once it is accepted; null before. */
     var work: RequestWork? = null
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -85,8 +85,8 @@
     /** Closes the connections on which nothing has arrived for the configured time; called about once per second. */
     fun closeTimedOut() {
         // While the event loop lags, what has arrived in time may be unread.
-        if (handler.queuedMilliseconds() > 0) return
         val now = clock.nowMilliseconds()
+        if (handler.queuedMilliseconds(now) > 0) return
         val timeout = idleTimeoutMilliseconds()
         connections.removeIdleSince(now - timeout).forEach { closeIdle(it, CloseReason.IDLE_TIMEOUT) }
         openByConnection.values
@@ -106,10 +106,11 @@
     }
 
     private fun handle(request: HttpServerRequest) {
-        val arrivedAt = clock.nowMilliseconds() - handler.queuedMilliseconds()
+        val readAt = clock.nowMilliseconds()
+        val arrivedAt = readAt - handler.queuedMilliseconds(readAt)
         val connection = openByConnection[request.connection()] ?: CallerConnection(request.connection())
         val responder = CallerResponder(request, connection) { isDraining || withdrawal.isWithdrawn }
-        val exchange = CallerExchange(request, connection, responder, clock.nowMilliseconds())
+        val exchange = CallerExchange(request, connection, responder, readAt)
         connection.newest = exchange
         active++
         hasBeenCalled = true
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/ExchangeHandler.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/ExchangeHandler.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import toucanrelay.core.configuration.ConfigurationRegister
-import toucanrelay.core.overload.RetryDelay
 import toucanrelay.gateway.GatewayMeters
 import toucanrelay.gateway.LoopLag
 import toucanrelay.gateway.log.EventLog
@@ -30,8 +29,9 @@
     /** Whether new requests are refused because too little time is left before the shutdown. */
     var isRefusingNew: Boolean = false
 
-    /** Returns how long a request has probably waited before it was read, estimated from the lag of the event loop. */
-    fun queuedMilliseconds(): Long = loopLag.milliseconds.takeIf { it >= MIN_LAG_MILLISECONDS } ?: 0
+    /** Returns how long a request that is read at [nowMilliseconds] has probably waited, by the lag of the event loop. */
+    fun queuedMilliseconds(nowMilliseconds: Long): Long =
+        loopLag.millisecondsAt(nowMilliseconds).takeIf { it >= MIN_LAG_MILLISECONDS } ?: 0
 
     /** Serves [exchange], whose request arrived at [arrivedAtMilliseconds], and ends it in exactly one way. */
     suspend fun serve(exchange: CallerExchange, arrivedAtMilliseconds: Long) {
@@ -51,7 +51,7 @@
         if (isRefusingNew) return refuse(exchange, Refusal.SHUTTING_DOWN)
         if (loopLag.isOverloaded) return refuse(exchange, Refusal.PROCESS_OVERLOADED)
         // Yields to the event loop, which cancels this job if the caller disconnected while its request was queued.
-        if (queuedMilliseconds() > 0) delay(YIELD_MILLISECONDS)
+        if (arrivedAtMilliseconds < exchange.readAtMilliseconds) delay(YIELD_MILLISECONDS)
         val work =
             acceptor
                 .accept(exchange.request, body, arrivedAtMilliseconds, exchange.responder)
@@ -104,8 +104,7 @@
         val request = exchange.request
         val caller = PlatformHeaders.readCallerRequest(request.headers())
         val remaining = caller.deadlineMilliseconds ?: DEFAULT_DEADLINE_MILLISECONDS
-        val retryAfter = if (refusal.isRetryable) RetryDelay.milliseconds(remaining, random) else null
-        exchange.responder.refuse(refusal, caller.requestId, retryAfter)
+        exchange.responder.refuse(refusal, caller.requestId, refusal.retryDelayMilliseconds(remaining, random))
         meters.refusals(refusal).increment()
         exchange.work?.let { return it.logEnd(refusal.label) }
         log.write(
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
@@ -1,5 +1,8 @@
 package toucanrelay.gateway.http
 
+import toucanrelay.core.overload.RetryDelay
+import kotlin.random.Random
+
 /**
  * Reasons for which the gateway itself refuses or fails a request; each one has a counter.
  *
@@ -36,6 +39,9 @@
     /** All targets are too busy to serve the request in time. */
     OVERLOADED("overloaded", 503, true),
 
+    /** All targets have asked for a back-off that is longer than the request can wait. */
+    BACKING_OFF("targets-backing-off", 503, true),
+
     /** Every target that was tried reported that it did not run the request. */
     REJECTED_BY_TARGETS("rejected-by-targets", 503, true),
 
@@ -61,6 +67,18 @@
     DEADLINE_WHILE_RUNNING("deadline-while-running", 504, false),
     ;
 
+    /**
+     * Returns the delay in milliseconds after which the caller may send the request again; null if it may not.
+     *
+     * @param remainingMilliseconds time until the request's deadline.
+     */
+    fun retryDelayMilliseconds(remainingMilliseconds: Long, random: Random): Long? =
+        when {
+            !isRetryable -> null
+            this == SHUTTING_DOWN -> RetryDelay.elsewhereMilliseconds(random)
+            else -> RetryDelay.milliseconds(maxOf(0, remainingMilliseconds), random)
+        }
+
     /** Whether the refusal may come before the end of the request's body. */
     val leavesBodyUnread: Boolean
         get() = this == BODY_TOO_LARGE || this == BODY_TIMEOUT
--- a/gateway/src/test/kotlin/toucanrelay/gateway/LoopLagTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/LoopLagTest.kt
@@ -33,6 +33,15 @@
                 lag.isOverloaded shouldBe false
             }
 
+            it("is known during a pause already, before the timer fires") {
+                val paused = LoopLag(clock)
+                clock.advance(40)
+                paused.millisecondsAt(clock.nowMilliseconds()) shouldBe 0
+                clock.advance(1_000)
+                paused.millisecondsAt(clock.nowMilliseconds()) shouldBe 990
+                paused.milliseconds shouldBe 0
+            }
+
             it("counts as overload immediately after one pause of 900 ms") {
                 tick(1, milliseconds = 900)
                 lag.isOverloaded shouldBe true
--- a/gateway/src/test/kotlin/toucanrelay/gateway/http/CallerServerFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/http/CallerServerFixture.kt
@@ -34,11 +34,12 @@
     private val log = EventLog(MonotonicClock, isWritten = false)
     val register = ConfigurationRegister(MonotonicClock)
     private val endings = EndingLog(register, meters, log)
+    private val loopLag = LoopLag(MonotonicClock, overloadThresholdMilliseconds = Double.POSITIVE_INFINITY)
     val handler =
         ExchangeHandler(
             { _, _, _, responder -> Ok(work(responder)) },
             register,
-            LoopLag(MonotonicClock, overloadThresholdMilliseconds = Double.POSITIVE_INFINITY),
+            loopLag,
             endings,
             meters,
             log,
@@ -58,6 +59,7 @@
 
     suspend fun start() {
         onEventLoop { server.listen(TargetAddress(LOOPBACK, port)) }
+        vertx.setPeriodic(LoopLag.PERIOD_MILLISECONDS) { loopLag.recordTick() }
         vertx.setPeriodic(TIMEOUT_CHECK_MILLISECONDS) { server.closeTimedOut() }
     }
 
