Send nothing to targets that say that they leave or ask for a back-off, and nothing that a stop would cut off

Targets that leave (Server-Leaving) and refusals with Retry-After were not read at all, so a target got requests until the store said that it leaves, and again right after it had refused one for some seconds.

- LeavingStatements, TargetRegistry.markLeaving: the run that said so is out of service at once and stays so; members tell each other for 10 s what they read themselves.
- TargetBackoffs: until when a target wants nothing, with a random addition and single requests at the end.
If no target is left that a request can wait for, it is refused at once (targets-backing-off) with the time of return.
- A last look right before the first byte is written sends a request elsewhere if its target has left, asked for a back-off or been taken out of service while the connection was opened.
- A wait that only the clock ends was never looked at again in a fleet of one gateway; it wakes itself now.
- A planned stop: requests are sent only if they will end before the process, by their deadline or by the longest recent time of their route.

--- a/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
@@ -12,9 +12,10 @@
 /**
  * Tracks the targets that are registered with the platform.
  *
- * Once a run of a target is leaving it remains so, even if an older registration arrives later. Registrations may
- * expire while the store is unavailable and are renewed after the outage. A removal seen shortly after an outage
- * therefore takes effect only if the registration is still missing after [expiryGraceMilliseconds].
+ * Once a run of a target is leaving it remains so, even if an older registration arrives later or its registration is
+ * removed and returns. Registrations may expire while the store is unavailable and are renewed after the outage. A
+ * removal seen shortly after an outage therefore takes effect only if the registration is still missing after
+ * [expiryGraceMilliseconds].
  *
  * @param expiryGraceMilliseconds delay before a removal that may result from a store outage takes effect.
  */
@@ -25,7 +26,8 @@
     private var targets = persistentMapOf<TargetId, RegisteredTarget>()
     private var outageEndedAtMilliseconds: Long? = null
     private var pendingRemovals = 0
-    private val removedRuns = LinkedHashMap<TargetId, Incarnation>()
+    private val removedRuns = RecentRuns(MAX_REMEMBERED_RUNS)
+    private val leavingRuns = RecentRuns(MAX_REMEMBERED_RUNS)
     private var servingLists = HashMap<ServingKey, List<RegisteredTarget>>()
 
     private data class ServingKey(
@@ -50,11 +52,13 @@
         val known = targets[registration.id]
         if (known != null && registration.incarnation < known.registration.incarnation) return
         val sameRun = known?.takeIf { it.registration.incarnation == registration.incarnation }
+        if (registration.isLeaving) leavingRuns.record(registration.id, registration.incarnation)
         val now = clock.nowMilliseconds()
         val registered =
             RegisteredTarget(
                 registration,
-                isLeaving = registration.isLeaving || sameRun?.isLeaving == true,
+                isLeaving =
+                    sameRun?.isLeaving == true || leavingRuns.contains(registration.id, registration.incarnation),
                 coldUntilMilliseconds = now + registration.coldMilliseconds,
                 removedAtMilliseconds = null,
             )
@@ -85,10 +89,18 @@
         outageEndedAtMilliseconds = maxOf(endedAt, outageEndedAtMilliseconds ?: Long.MIN_VALUE)
     }
 
-    /** Marks the run [incarnation] of [id] as leaving because another target responds at its address. */
-    public fun markReplaced(id: TargetId, incarnation: Incarnation) {
-        val known = targets[id] ?: return
-        if (known.registration.incarnation == incarnation) replace(targets.put(id, known.copy(isLeaving = true)))
+    /**
+     * Marks the run [incarnation] of [id] as leaving, whether it is registered or not.
+     *
+     * Returns whether it is registered and was not known to be leaving.
+     */
+    public fun markLeaving(id: TargetId, incarnation: Incarnation): Boolean {
+        val known = targets[id]
+        if (known != null && known.registration.incarnation > incarnation) return false
+        leavingRuns.record(id, incarnation)
+        if (known == null || known.registration.incarnation != incarnation || known.isLeaving) return false
+        replace(targets.put(id, known.copy(isLeaving = true)))
+        return true
     }
 
     /** Returns the targets of [service] that may receive new requests while [excludedDomains] are out of service. */
@@ -104,20 +116,19 @@
     }
 
     /** Returns whether the run [incarnation] of [id] was removed a short time ago. */
-    public fun wasRemoved(id: TargetId, incarnation: Incarnation): Boolean = removedRuns[id] == incarnation
+    public fun wasRemoved(id: TargetId, incarnation: Incarnation): Boolean = removedRuns.contains(id, incarnation)
 
     private fun replace(next: PersistentMap<TargetId, RegisteredTarget>) {
         if (next === targets) return
-        (targets.keys - next.keys).forEach { rememberRemoved(targets.getValue(it)) }
+        (targets.keys - next.keys).forEach { rememberRemoved(targets.getValue(it).registration) }
         targets = next
         pendingRemovals = next.values.count { it.removedAtMilliseconds != null }
         servingLists.clear()
     }
 
-    private fun rememberRemoved(target: RegisteredTarget) {
-        removedRuns.remove(target.registration.id)
-        removedRuns[target.registration.id] = target.registration.incarnation
-        if (removedRuns.size > MAX_REMOVED_RUNS) removedRuns.remove(removedRuns.keys.first())
+    private fun rememberRemoved(registration: TargetRegistration) {
+        removedRuns.record(registration.id, registration.incarnation)
+        if (registration.incarnation == UNREPORTED) leavingRuns.forget(registration.id)
     }
 
     private fun mayHaveExpired(now: Long): Boolean =
@@ -127,6 +138,9 @@
         target.removedAtMilliseconds?.let { now - it > expiryGraceMilliseconds } ?: false
 
     private companion object {
-        const val MAX_REMOVED_RUNS = 1_000
+        const val MAX_REMEMBERED_RUNS = 1_000
+
+        /** Runs of a target that does not report them are only told apart by the removal of its registration. */
+        val UNREPORTED = Incarnation(0)
     }
 }
--- a/core/src/test/kotlin/toucanrelay/core/target/TargetRegistryTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/target/TargetRegistryTest.kt
@@ -60,6 +60,56 @@
             }
         }
 
+        describe("a run of a target that says itself that it is leaving") {
+            it("receives no more requests, and is reported once") {
+                val registry = newRegistry()
+                registry.register(registration())
+                registry.markLeaving(ID, Incarnation(1)) shouldBe true
+                registry.markLeaving(ID, Incarnation(1)) shouldBe false
+                registry.register(registration())
+                registry.serving().shouldBeEmpty()
+            }
+
+            it("stays leaving if its registration is removed and returns") {
+                val registry = newRegistry()
+                registry.register(registration())
+                registry.markLeaving(ID, Incarnation(1))
+                registry.remove(ID)
+                registry.register(registration())
+                registry.serving().shouldBeEmpty()
+            }
+
+            it("is leaving also if it is registered only later") {
+                val registry = newRegistry()
+                registry.markLeaving(ID, Incarnation(1)) shouldBe false
+                registry.register(registration())
+                registry.serving().shouldBeEmpty()
+            }
+
+            it("does not take later runs along, nor do statements on earlier and later runs change it") {
+                val registry = newRegistry()
+                registry.register(registration(incarnation = 2))
+                registry.markLeaving(ID, Incarnation(1)) shouldBe false
+                registry.markLeaving(ID, Incarnation(3)) shouldBe false
+                registry.serving().shouldContainExactly(ID)
+                registry.markLeaving(ID, Incarnation(2)) shouldBe true
+                registry.markLeaving(ID, Incarnation(4))
+                registry.register(registration(incarnation = 2))
+                registry.serving().shouldBeEmpty()
+            }
+
+            it("serves again after its removal if it does not report its runs") {
+                val registry = newRegistry()
+                registry.register(registration(incarnation = 0))
+                registry.markLeaving(ID, Incarnation(0))
+                registry.register(registration(incarnation = 0))
+                registry.serving().shouldBeEmpty()
+                registry.remove(ID)
+                registry.register(registration(incarnation = 0))
+                registry.serving().shouldContainExactly(ID)
+            }
+        }
+
         describe("a removed run of a target") {
             it("is remembered, and not taken for a later run") {
                 val registry = newRegistry()
@@ -108,7 +158,7 @@
             it("receives no more requests in that run") {
                 val registry = newRegistry()
                 registry.register(registration())
-                registry.markReplaced(ID, Incarnation(1))
+                registry.markLeaving(ID, Incarnation(1))
                 registry.register(registration())
                 registry.serving().shouldBeEmpty()
             }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -4,6 +4,7 @@
 import toucanrelay.core.placement.PromptPart
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.gateway.member.CrashEvidenceExchange
+import toucanrelay.gateway.member.LeavingRunExchange
 import toucanrelay.gateway.member.MemberDigest
 import toucanrelay.gateway.member.MemberExchange
 import toucanrelay.gateway.member.OthersLoad
@@ -24,6 +25,7 @@
 ) {
     private val crashEvidence = CrashEvidenceExchange(components.quarantine, components.clock)
     private val statedLimits = StatedLimitExchange(components.statedLimits, components.clock)
+    private val leavingRuns = LeavingRunExchange(components.leavingStatements)
     private val memberExchange = MemberExchange(components.vertx, components.fleet, components.log, ::receive)
     private var sequence = 0L
     private var hasUnappliedDigests = false
@@ -70,6 +72,7 @@
             crashEvidence = crashEvidence.shared(),
             demand = demand(),
             statedLimits = statedLimits.shared(),
+            leavingRuns = leavingRuns.shared(),
         )
 
     private fun loads(): List<TargetLoadEntry> =
@@ -120,6 +123,7 @@
         }
         crashEvidence.receive(digest.crashEvidence)
         statedLimits.receive(digest.statedLimits)
+        leavingRuns.receive(digest.leavingRuns)
         hasUnappliedDigests = true
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -122,6 +122,7 @@
             val startedAt = components.clock.nowMilliseconds()
             val limit = (components.settings.bounds.shutdownSeconds * MILLISECONDS_PER_SECOND).toLong()
             components.log.write("stop", "active" to components.server.active)
+            components.shutdown.begin(limit - KILL_MARGIN_MILLISECONDS)
             components.server.isDraining = true
             while (!canClose(components.clock.nowMilliseconds() - startedAt, limit)) delay(STOP_CHECK_MILLISECONDS)
             components.log.write(
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
 import toucanrelay.core.allowance.StatedLimits
+import toucanrelay.core.backoff.TargetBackoffs
 import toucanrelay.core.configuration.ConfigurationRegister
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.overload.OrganisationUsage
@@ -10,6 +11,7 @@
 import toucanrelay.core.quarantine.CrashQuarantine
 import toucanrelay.core.quarantine.Suspect
 import toucanrelay.core.quarantine.SuspectCondition
+import toucanrelay.core.target.LeavingStatements
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.target.TargetRegistry
 import toucanrelay.core.time.EpochClock
@@ -21,10 +23,12 @@
 import toucanrelay.gateway.dispatch.Placer
 import toucanrelay.gateway.dispatch.RequestRunners
 import toucanrelay.gateway.dispatch.RetryBudgets
+import toucanrelay.gateway.dispatch.RouteDurations
 import toucanrelay.gateway.dispatch.RunnerDependencies
 import toucanrelay.gateway.dispatch.ServiceDemand
 import toucanrelay.gateway.dispatch.SilenceDetector
 import toucanrelay.gateway.dispatch.TargetAllowances
+import toucanrelay.gateway.dispatch.TargetStatements
 import toucanrelay.gateway.follow.FollowedOperators
 import toucanrelay.gateway.follow.FollowedTargets
 import toucanrelay.gateway.follow.TableCopy
@@ -36,6 +40,7 @@
 import toucanrelay.gateway.http.RequestIntake
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.gateway.log.StatedLimitLog
+import toucanrelay.gateway.log.TargetStatementLog
 import toucanrelay.gateway.member.FleetView
 import toucanrelay.gateway.member.RecentPromptReads
 import toucanrelay.gateway.settings.GatewaySettings
@@ -71,7 +76,12 @@
     val fairShares = FairShares(clock, organisationUsage, fleet)
     val serviceDemand = ServiceDemand(clock)
     val statedLimits = StatedLimits(clock, StatedLimitLog(log))
-    private val allowances = TargetAllowances(settings.instanceId, clock, fleet, serviceDemand, statedLimits)
+    private val statementLog = TargetStatementLog(log, meters)
+    val leavingStatements = LeavingStatements(clock, targets, statementLog::onLeaving)
+    val backoffs = TargetBackoffs(clock, Random.Default, statementLog)
+    val shutdown = Shutdown(clock)
+    private val routeDurations = RouteDurations(clock)
+    private val allowances = TargetAllowances(settings.instanceId, clock, fleet, serviceDemand, statedLimits, backoffs)
     private val placer = Placer(settings, clock, pool, allowances, fairShares, recentReads, quarantine)
     private val outputEstimates = OutputEstimates()
     private val intake = RequestIntake(clock, configurations, outputEstimates, ::maxAgeMilliseconds)
@@ -110,7 +120,9 @@
             intake = intake,
             organisationUsage = organisationUsage,
             serviceDemand = serviceDemand,
-            statedLimits = statedLimits,
+            statements = TargetStatements(statedLimits, leavingStatements, backoffs),
+            shutdown = shutdown,
+            routeDurations = routeDurations,
             outputEstimates = outputEstimates,
             retryBudgets = RetryBudgets(clock, { settings.bounds }, fleet),
             silenceDetector = silenceDetector,
@@ -152,6 +164,8 @@
     fun cleanUp() {
         pool.cleanUp()
         statedLimits.retain(targets.currentTargets().keys)
+        backoffs.retain(targets.currentTargets().keys)
+        routeDurations.cleanUp()
     }
 
     /** Measures the lag of the event loop and decides whether this process is overloaded. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
@@ -23,6 +23,7 @@
     meters.gauge("toucanrelay_configuration_version") { configurations.current?.version }
     meters.gauge("toucanrelay_configuration_age_milliseconds") { configurations.ageMilliseconds() }
     meters.gauge("toucanrelay_limited_targets") { statedLimits.limitedTargets }
+    meters.gauge("toucanrelay_backing_off_targets") { backoffs.activeBackoffs }
     tableCopies.forEach { (table, copy) ->
         meters.gauge("toucanrelay_table_age_milliseconds", Tags.of("table", table)) { copy.ageMilliseconds }
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
@@ -7,6 +7,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import toucanrelay.core.retry.TargetOutcome
+import toucanrelay.core.target.LeavingSource
 import toucanrelay.gateway.dispatch.RequestProgress
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.CloseReason
@@ -32,6 +33,13 @@
 
     /** Counter of attempts that were added because the targets of the others were silent. */
     val hedges: Counter = Counter.builder("toucanrelay_hedges").register(registry)
+
+    /** Counter of back-offs that targets asked for. */
+    val targetBackoffs: Counter = Counter.builder("toucanrelay_target_backoffs").register(registry)
+    private val leavingTargets =
+        LeavingSource.entries.associateWith {
+            counter("toucanrelay_leaving_targets", "source", it.name.lowercase())
+        }
     private val outcomes = HashMap<String, Counter>()
     private val taskFailures = HashMap<String, Counter>()
     private val firstByteTimers = HashMap<String, Timer>()
@@ -45,6 +53,9 @@
     /** Returns the counter of invalid answers of targets in which [part] was too large. */
     fun tooLargeAnswers(part: AnswerPart): Counter = tooLargeAnswers.getValue(part)
 
+    /** Returns the counter of targets that were first known to be leaving from [source]. */
+    fun leavingTargets(source: LeavingSource): Counter = leavingTargets.getValue(source)
+
     /** Returns the counter of connections of callers that were closed without a complete answer for [reason]. */
     fun closedUnanswered(reason: CloseReason): Counter = closedUnanswered.getValue(reason)
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
@@ -32,7 +32,7 @@
         val settled = CompletableDeferred<Unit>()
 
         /** A reservation, or the refusal if no target is left; null while the request waits. */
-        var result: Result<Reservation, Refusal>? = null
+        var result: Result<Reservation, Unplaced>? = null
 
         /** Releases a reservation that was made just as the wait ended. */
         fun abandon() {
@@ -47,17 +47,18 @@
     val waiting: Int
         get() = waiters.size
 
-    /** Places [request] on a target that is not in [excluded], waiting if all are busy; else returns the refusal. */
-    suspend fun place(request: CallerRequest, excluded: Set<TargetId>): Result<Reservation, Refusal> {
+    /** Places [request] on a target that is not in [excluded], waiting if all are busy; else returns why not. */
+    suspend fun place(request: CallerRequest, excluded: Set<TargetId>): Result<Reservation, Unplaced> {
         val waiter = Waiter(request, excluded)
         if (!isPrecededByWaiters(waiter)) {
             when (val result = placer.place(request, excluded, ::wake)) {
                 is PlacementResult.Placed -> return Ok(result.reservation)
-                PlacementResult.NoTarget -> return Err(Refusal.NO_TARGET)
+                is PlacementResult.BackingOff -> unplacedByBackoff(waiter, result)?.let { return Err(it) }
+                PlacementResult.NoTarget -> return Err(Unplaced(Refusal.NO_TARGET))
                 PlacementResult.Busy -> Unit
             }
         }
-        return if (isServableInTime(waiter)) await(waiter) else Err(Refusal.OVERLOADED)
+        return if (isServableInTime(waiter)) await(waiter) else Err(Unplaced(Refusal.OVERLOADED))
     }
 
     /** Places [request] on a target that is not in [excluded] without waiting; returns null if that is not possible. */
@@ -81,6 +82,13 @@
         return capacity.waitMilliseconds(ahead) <= maxWaitMilliseconds(waiter)
     }
 
+    /** Returns why the request of [waiter] cannot wait for the end of [backoff], or null if it can. */
+    private fun unplacedByBackoff(waiter: Waiter, backoff: PlacementResult.BackingOff): Unplaced? {
+        val untilDeadline = waiter.request.deadlineAtMilliseconds - clock.nowMilliseconds()
+        val canWait = backoff.milliseconds <= minOf(maxWaitMilliseconds(waiter), untilDeadline)
+        return if (canWait) null else Unplaced(Refusal.BACKING_OFF, backoff.milliseconds)
+    }
+
     private fun precedes(first: Waiter, second: Waiter): Boolean =
         first.request.service.name == second.request.service.name && order.compare(first, second) < 0
 
@@ -94,8 +102,10 @@
         }
     }
 
-    private suspend fun await(waiter: Waiter): Result<Reservation, Refusal> {
+    private suspend fun await(waiter: Waiter): Result<Reservation, Unplaced> {
         waiters.add(waiter)
+        // A back-off or a limited rate ends by the clock alone.
+        wake()
         var isInTime = false
         try {
             isInTime = withTimeoutOrNull(maxWaitMilliseconds(waiter)) { waiter.settled.await() } != null
@@ -103,7 +113,7 @@
             waiters.remove(waiter)
             if (!isInTime) waiter.abandon()
         }
-        return if (isInTime) checkNotNull(waiter.result) else Err(Refusal.OVERLOADED)
+        return if (isInTime) checkNotNull(waiter.result) else Err(Unplaced(Refusal.OVERLOADED))
     }
 
     private fun drain() {
@@ -118,10 +128,11 @@
     }
 
     /** Returns how the wait of [waiter] ends, or null: it goes on, for an interrupted request even without targets. */
-    private fun resultOf(waiter: Waiter, placement: PlacementResult): Result<Reservation, Refusal>? =
+    private fun resultOf(waiter: Waiter, placement: PlacementResult): Result<Reservation, Unplaced>? =
         when (placement) {
             is PlacementResult.Placed -> Ok(placement.reservation)
-            PlacementResult.NoTarget -> if (waiter.excluded.isEmpty()) Err(Refusal.NO_TARGET) else null
+            is PlacementResult.BackingOff -> unplacedByBackoff(waiter, placement)?.let { Err(it) }
+            PlacementResult.NoTarget -> if (waiter.excluded.isEmpty()) Err(Unplaced(Refusal.NO_TARGET)) else null
             PlacementResult.Busy -> null
         }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/AnswerCheck.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/AnswerCheck.kt
@@ -12,6 +12,12 @@
     private val requestId: String,
     private val progress: RequestProgress,
 ) {
+    /** Returns whether [answer] comes from the target that the request was sent to, whatever else is wrong with it. */
+    fun isOwn(answer: TargetAnswer): Boolean {
+        val headers = answer.parsedHeaders
+        return headers.requestId == requestId && (headers.isNotExecuted || headers.isSigned)
+    }
+
     /** Returns why [answer] is not a valid answer of the target to the request, or null if it is valid. */
     fun problemOf(answer: TargetAnswer): String? {
         val headers = answer.parsedHeaders
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -1,9 +1,5 @@
 package toucanrelay.gateway.dispatch
 
-import io.vertx.core.MultiMap
-import io.vertx.core.buffer.Buffer
-import toucanrelay.core.allowance.StatedLimit
-import toucanrelay.core.allowance.StatedLimits
 import toucanrelay.core.configuration.RouteKind
 import toucanrelay.core.placement.EngineSpeed
 import toucanrelay.core.retry.TargetOutcome
@@ -11,11 +7,8 @@
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.CallerResponder
-import toucanrelay.gateway.http.EventSplitter
-import toucanrelay.gateway.http.ServerSentEvent
 import toucanrelay.gateway.target.AnswerBody
 import toucanrelay.gateway.target.AnswerPart
-import toucanrelay.gateway.target.BodyPart
 import toucanrelay.gateway.target.OutgoingRequest
 import toucanrelay.gateway.target.TargetAnswer
 import toucanrelay.gateway.target.TargetConnection
@@ -23,60 +16,12 @@
 import toucanrelay.platform.GatewayHeaders
 import toucanrelay.platform.PlatformHeaders
 
-/** A complete answer that has not been passed on to the caller yet. */
-internal class BufferedAnswer(
-    val status: Int,
-    val headers: MultiMap,
-    val body: Buffer,
-)
-
-/** Where a target broke off its answer. */
-internal enum class BreakPoint {
-    /** Before it had written more than a first event. */
-    BEFORE_ANSWER,
-
-    /** After it had written at least two events. */
-    WITHIN_ANSWER,
-}
-
-/** How an attempt ended. */
-internal sealed interface AttemptResult {
-    /** The complete answer was sent to the caller. */
-    data object Answered : AttemptResult
-
-    /**
-     * No complete answer was sent.
-     *
-     * @property failure the target's error response, if there is one to pass on.
-     * @property tooLarge the part of the answer of which the target sent more bytes than a valid answer has, if any.
-     * @property brokenOff where the target broke off its answer, if it did.
-     */
-    class Unanswered(
-        val outcome: TargetOutcome,
-        val detail: String,
-        val failure: BufferedAnswer? = null,
-        val tooLarge: AnswerPart? = null,
-        val brokenOff: BreakPoint? = null,
-    ) : AttemptResult
-}
-
-/** How reading the complete body of an answer ended. */
-private sealed interface ReadBody {
-    class Complete(
-        val bytes: Buffer,
-    ) : ReadBody
-
-    class Broken(
-        val detail: String,
-    ) : ReadBody
-
-    data object TooLarge : ReadBody
-}
-
 /**
  * Sends a request to one target and passes the answer on to the caller.
  *
  * @property reservation the capacity at the target that the attempt uses.
+ * @param reasonNotToSend returns why the target must not get the request any more, or null if it may; called right
+ *   before the request is sent, since opening a connection takes time.
  * @param claim called before a part of the answer is passed on, so that no other attempt at the request continues.
  */
 internal class Attempt(
@@ -86,14 +31,17 @@
     private val responder: CallerResponder,
     private val clock: Clock,
     private val speed: EngineSpeed?,
-    private val statedLimits: StatedLimits,
+    private val statements: TargetStatements,
+    private val reasonNotToSend: () -> String?,
     private val onReplaced: (TargetRegistration) -> Unit,
     private val claim: (Attempt) -> Unit,
 ) : HedgeableAttempt {
     private var connection: TargetConnection? = null
     private var answerBody: AnswerBody? = null
+
+    /** Whether the answer was read completely, so that the connection can carry another request. */
     private var isComplete = false
-    private var events = 0
+    private var streamRelay: StreamRelay? = null
 
     override var sentAtMilliseconds: Long = clock.nowMilliseconds()
         private set
@@ -102,12 +50,10 @@
         get() = target.health.lastReceivedAtMilliseconds
 
     override val isPaused: Boolean
-        get() = isWriting || answerBody?.isPaused == true
+        get() = streamRelay?.isWriting == true || answerBody?.isPaused == true
 
-    private var isWriting = false
-
-    override var lastPartAtMilliseconds: Long? = null
-        private set
+    override val lastPartAtMilliseconds: Long?
+        get() = streamRelay?.lastPartAtMilliseconds
 
     private var wasTargetSilent = false
 
@@ -124,7 +70,10 @@
         try {
             val opened = target.connections.acquire(maxIdleMilliseconds())
             connection = opened
-            return exchange(opened)
+            val reason = reasonNotToSend() ?: return exchange(opened)
+            connection = null
+            target.connections.returnUnused(opened)
+            return AttemptResult.Unanswered(TargetOutcome.NOT_SENT, reason)
         } catch (failure: TargetFailure.NotSent) {
             target.health.recordUnreachable()
             return AttemptResult.Unanswered(TargetOutcome.NOT_SENT, failure.message.orEmpty())
@@ -149,8 +98,9 @@
         progress.isAtTarget = true
         val answer = opened.exchange(outgoingRequest())
         answerBody = answer.body
-        val problem = AnswerCheck(request.id, progress).problemOf(answer)
-        if (problem == null) recordStatedLimit(answer)
+        val check = AnswerCheck(request.id, progress)
+        if (check.isOwn(answer)) statements.record(target, answer.parsedHeaders, sentAtMilliseconds)
+        val problem = check.problemOf(answer)
         return when {
             problem != null -> recordUnknown(problem)
             answer.parsedHeaders.isNotExecuted -> readRejection(answer)
@@ -159,14 +109,6 @@
         }
     }
 
-    /** Records what [answer] says of a limit; rejections need not repeat it, and 421 comes from another target. */
-    private fun recordStatedLimit(answer: TargetAnswer) {
-        val headers = answer.parsedHeaders
-        if (headers.isMisdirected) return
-        if (headers.isNotExecuted && headers.statedLimit == StatedLimit.None) return
-        statedLimits.recordAnswer(target.id, target.incarnation, headers.statedLimit, sentAtMilliseconds)
-    }
-
     private fun outgoingRequest(): OutgoingRequest {
         val gatewayHeaders =
             GatewayHeaders(
@@ -184,12 +126,12 @@
     }
 
     private suspend fun readRejection(answer: TargetAnswer): AttemptResult {
-        val body = readBody(answer)
-        isComplete = body is ReadBody.Complete
+        val body = WholeBody.read(answer.body)
+        isComplete = body is WholeBody.Complete
         progress.isAtTarget = false
         if (answer.parsedHeaders.isMisdirected) onReplaced(reservation.registered.registration)
         val detail = "rejected with status ${answer.status}"
-        if (body !is ReadBody.TooLarge) return AttemptResult.Unanswered(TargetOutcome.REJECTED, detail)
+        if (body !is WholeBody.TooLarge) return AttemptResult.Unanswered(TargetOutcome.REJECTED, detail)
         target.health.recordEndlessAnswer()
         return AttemptResult.Unanswered(
             TargetOutcome.REJECTED,
@@ -200,14 +142,14 @@
 
     private suspend fun relayBuffered(answer: TargetAnswer): AttemptResult {
         val body =
-            when (val read = readBody(answer)) {
-                is ReadBody.Complete -> read.bytes
+            when (val read = WholeBody.read(answer.body)) {
+                is WholeBody.Complete -> read.bytes
 
-                is ReadBody.Broken -> return recordBrokenOff(
+                is WholeBody.Broken -> return recordBrokenOff(
                     "answer was cut off, status ${answer.status}: ${read.detail}",
                 )
 
-                ReadBody.TooLarge -> return recordTooLarge(AnswerPart.BODY)
+                WholeBody.TooLarge -> return recordTooLarge(AnswerPart.BODY)
             }
         isComplete = true
         progress.isAtTarget = false
@@ -225,52 +167,17 @@
     }
 
     private suspend fun relayStream(answer: TargetAnswer): AttemptResult {
-        val splitter = EventSplitter()
-        val order = EventOrder(progress)
-        while (true) {
-            when (val part = answer.body.next()) {
-                is BodyPart.Bytes -> relayEvents(answer, splitter, order, part.buffer)?.let { return it }
-                is BodyPart.Broken -> return recordBrokenOff("stream was cut off: ${part.detail}")
-                BodyPart.End -> return endStream(answer, splitter)
-            }
+        val relay = StreamRelay(answer, progress, responder, clock, { claim(this) }, ::recordFirstEvent)
+        streamRelay = relay
+        return when (val end = relay.run()) {
+            StreamEnd.Complete -> endStream()
+            is StreamEnd.BrokenOff -> recordBrokenOff(end.detail)
+            is StreamEnd.Invalid -> recordUnknown(end.detail)
+            is StreamEnd.TooLarge -> recordTooLarge(end.part)
         }
     }
 
-    /** Passes on the events that [bytes] complete; returns the result if the stream is invalid. */
-    private suspend fun relayEvents(
-        answer: TargetAnswer,
-        splitter: EventSplitter,
-        order: EventOrder,
-        bytes: Buffer,
-    ): AttemptResult? {
-        for (event in splitter.feed(bytes)) {
-            when (val decision = order.decide(event)) {
-                EventDecision.Pass -> relayEvent(answer, order, event)
-                EventDecision.Omit -> Unit
-                is EventDecision.Reject -> return recordUnknown(decision.detail)
-            }
-        }
-        return if (splitter.partialEventBytes > AnswerPart.EVENT.maxBytes) recordTooLarge(AnswerPart.EVENT) else null
-    }
-
-    private suspend fun relayEvent(answer: TargetAnswer, order: EventOrder, event: ServerSentEvent) {
-        claim(this)
-        if (!responder.hasBegun) {
-            progress.mediaType = answer.mediaType
-            responder.beginStream(answer.status, answer.headers)
-        }
-        recordFirstEvent()
-        order.recordPassed(event)
-        events++
-        isWriting = true
-        responder.writeChunk(event.bytes)
-        isWriting = false
-        lastPartAtMilliseconds = clock.nowMilliseconds()
-    }
-
-    private fun endStream(answer: TargetAnswer, splitter: EventSplitter): AttemptResult {
-        if (splitter.hasPartialEvent || !responder.hasBegun) return recordBrokenOff("stream ended within an event")
-        if (events == 0 && !answer.isFramed) return recordBrokenOff("resumed stream ended without events or length")
+    private fun endStream(): AttemptResult {
         claim(this)
         isComplete = true
         progress.isAtTarget = false
@@ -298,18 +205,6 @@
         if (progress.firstByteAtMilliseconds == null) progress.firstByteAtMilliseconds = clock.nowMilliseconds()
     }
 
-    private suspend fun readBody(answer: TargetAnswer): ReadBody {
-        val body = Buffer.buffer()
-        while (true) {
-            when (val part = answer.body.next()) {
-                is BodyPart.Bytes -> body.appendBuffer(part.buffer)
-                is BodyPart.Broken -> return ReadBody.Broken(part.detail)
-                BodyPart.End -> return ReadBody.Complete(body)
-            }
-            if (body.length() > AnswerPart.BODY.maxBytes) return ReadBody.TooLarge
-        }
-    }
-
     private fun recordTooLarge(part: AnswerPart): AttemptResult {
         target.health.recordEndlessAnswer()
         return AttemptResult.Unanswered(TargetOutcome.UNKNOWN, part.tooLargeDetail, tooLarge = part)
@@ -317,11 +212,9 @@
 
     private fun recordBrokenOff(detail: String): AttemptResult {
         target.health.recordFailure()
-        return AttemptResult.Unanswered(
-            TargetOutcome.UNKNOWN,
-            detail,
-            brokenOff = if (events < EVENTS_OF_BEGUN_ANSWER) BreakPoint.BEFORE_ANSWER else BreakPoint.WITHIN_ANSWER,
-        )
+        val hasBegun = (streamRelay?.events ?: 0) >= EVENTS_OF_BEGUN_ANSWER
+        val breakPoint = if (hasBegun) BreakPoint.WITHIN_ANSWER else BreakPoint.BEFORE_ANSWER
+        return AttemptResult.Unanswered(TargetOutcome.UNKNOWN, detail, brokenOff = breakPoint)
     }
 
     private fun recordUnknown(detail: String): AttemptResult {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -32,6 +32,15 @@
     /** Suitable targets are registered, but none can accept the request now. */
     data object Busy : PlacementResult
 
+    /**
+     * Every suitable target has asked for a back-off.
+     *
+     * @property milliseconds time until the first one accepts requests again.
+     */
+    class BackingOff(
+        val milliseconds: Long,
+    ) : PlacementResult
+
     /** Every registered target is unsuitable for the request or was already tried. */
     data object NoTarget : PlacementResult
 }
@@ -54,7 +63,13 @@
         val serving = allowedTargets(request)
         val untried = serving.filter { it.target.id !in excluded }
         if (untried.isEmpty()) return PlacementResult.NoTarget
-        val usable = usableTargets(preferUnharmed(untried, request), request.service)
+        val open = untried.filter { allowances.backoffMilliseconds(it.target) == 0L }
+        if (open.isEmpty()) {
+            return PlacementResult.BackingOff(
+                untried.minOf { allowances.backoffMilliseconds(it.target) },
+            )
+        }
+        val usable = usableTargets(preferUnharmed(open, request), request.service)
         val candidates = usable.map { candidateOf(it, request.prompt, request.service) }
         val placement = choose(request, candidates, historyOf(request, excluded)) ?: return PlacementResult.Busy
         return PlacementResult.Placed(
@@ -62,6 +77,14 @@
         )
     }
 
+    /** Returns why nothing may be sent any more to the target of [reservation], or null if a request may be. */
+    fun reasonNotToSend(reservation: Reservation): String? =
+        when {
+            !pool.isServing(reservation.registered) -> "target is not in service any more"
+            allowances.backoffMilliseconds(reservation.target) > 0 -> "target has asked for a back-off"
+            else -> null
+        }
+
     /** Returns whether the rate of requests to any target that may serve [request] is limited. */
     fun isPaced(request: CallerRequest): Boolean =
         allowedTargets(request).any { allowances.isPaced(it, request.service) }
@@ -88,7 +111,9 @@
         val unread = withRoom.minOfOrNull { it.load.unreadTokens }
         val allowed = allowedMilliseconds(request, historyOf(request, emptySet())).toInt()
         val paced = serving.count { allowances.isPaced(it, request.service) }
-        return "$counts paced $paced with room ${withRoom.size} min unread tokens $unread allowed ms $allowed"
+        val backingOff = serving.count { allowances.backoffMilliseconds(it.target) > 0 }
+        return "$counts paced $paced backing off $backingOff with room ${withRoom.size} " +
+            "min unread tokens $unread allowed ms $allowed"
     }
 
     /** Returns how fast engines of [service] read prompts, at first estimated from their total [tokensPerSecond]. */
@@ -159,7 +184,9 @@
         }
 
     private fun isOpen(serving: ServingTarget, service: ServiceSettings): Boolean =
-        allowances.hasConnection(serving, service) && isHealthy(serving)
+        allowances.hasConnection(serving, service) &&
+            isHealthy(serving) &&
+            allowances.backoffMilliseconds(serving.target) == 0L
 
     private fun hasCapacity(serving: ServingTarget, service: ServiceSettings): Boolean =
         allowances.hasConnection(serving, service) && allowances.maySend(serving, service)
@@ -190,7 +217,7 @@
         val target = serving.target
         val tokensAhead = target.load.unreadTokens + target.othersLoad.unreadTokens + placement.unreadTokens
         request.prompt?.let { recordRead(target, it, placement) }
-        target.pacing.pacer.recordSent()
+        allowances.recordPlaced(target)
         val load = TargetLoad(1, placement.unreadTokens, expectedMemoryTokens(request.prompt, placement))
         return Reservation(serving.registered, target, placement, regionOf(serving), tokensAhead, load, onRelease)
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestProgress.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestProgress.kt
@@ -27,6 +27,9 @@
     /** The target of the last attempt. */
     var target: TargetId? = null
 
+    /** Clock reading when the request was first placed on a target; null before. */
+    var placedAtMilliseconds: Long? = null
+
     /** Number of events passed on to the caller. */
     var events: Long = 0
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/TargetAllowances.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/TargetAllowances.kt
@@ -2,15 +2,18 @@
 
 import toucanrelay.core.allowance.FleetRateLimit
 import toucanrelay.core.allowance.StatedLimits
+import toucanrelay.core.backoff.TargetBackoffs
 import toucanrelay.core.configuration.ServiceSettings
 import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.member.FleetView
 import toucanrelay.gateway.target.ServingTarget
+import toucanrelay.gateway.target.Target
 
 /**
  * Decides how much of what a target takes from the whole fleet this process may use: requests per second of a target
- * that is cold or states a limit, and connections. Confined to the event loop.
+ * that is cold or states a limit, and connections; nothing while the target asks for a back-off. Confined to the event
+ * loop.
  */
 internal class TargetAllowances(
     private val self: InstanceId,
@@ -18,6 +21,7 @@
     private val fleet: FleetView,
     private val demand: ServiceDemand,
     private val statedLimits: StatedLimits,
+    private val backoffs: TargetBackoffs,
 ) {
     /** Returns whether this process may open another connection to [serving] within its part of the connections. */
     fun hasConnection(serving: ServingTarget, service: ServiceSettings): Boolean =
@@ -29,11 +33,21 @@
         return serving.target.pacing.isLimited
     }
 
-    /** Returns whether this process may send a request to [serving] now within its part of the rate. */
+    /** Returns the time for which [target] has asked for no request; zero if it accepts requests. */
+    fun backoffMilliseconds(target: Target): Long = backoffs.remainingMilliseconds(target.id, target.incarnation)
+
+    /** Returns whether this process may send a request to [serving] now: its part of the rate, and after a back-off. */
     fun maySend(serving: ServingTarget, service: ServiceSettings): Boolean {
+        val target = serving.target
+        if (!backoffs.maySend(target.id, target.incarnation)) return false
         updateRate(serving, service)
-        return serving.target.pacing.pacer
-            .maySend()
+        return target.pacing.pacer.maySend()
+    }
+
+    /** Records that a request was placed on [target]. */
+    fun recordPlaced(target: Target) {
+        target.pacing.pacer.recordSent()
+        backoffs.recordSent(target.id, target.incarnation)
     }
 
     private fun updateRate(serving: ServingTarget, service: ServiceSettings) {
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Unplaced.kt
@@ -0,0 +1,13 @@
+package toucanrelay.gateway.dispatch
+
+import toucanrelay.gateway.http.Refusal
+
+/**
+ * Why a request was not placed on a target.
+ *
+ * @property returnMilliseconds time until the first target accepts requests again; null if that is not known.
+ */
+internal class Unplaced(
+    val refusal: Refusal,
+    val returnMilliseconds: Long? = null,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/WholeBody.kt
@@ -0,0 +1,37 @@
+package toucanrelay.gateway.dispatch
+
+import io.vertx.core.buffer.Buffer
+import toucanrelay.gateway.target.AnswerBody
+import toucanrelay.gateway.target.AnswerPart
+import toucanrelay.gateway.target.BodyPart
+
+/** How reading the whole body of an answer ended. */
+internal sealed interface WholeBody {
+    /** The body is complete. */
+    class Complete(
+        val bytes: Buffer,
+    ) : WholeBody
+
+    /** The target broke it off. */
+    class Broken(
+        val detail: String,
+    ) : WholeBody
+
+    /** The target sent more bytes than a valid answer has. */
+    data object TooLarge : WholeBody
+
+    companion object {
+        /** Reads [body] to its end. */
+        suspend fun read(body: AnswerBody): WholeBody {
+            val bytes = Buffer.buffer()
+            while (true) {
+                when (val part = body.next()) {
+                    is BodyPart.Bytes -> bytes.appendBuffer(part.buffer)
+                    is BodyPart.Broken -> return Broken(part.detail)
+                    BodyPart.End -> return Complete(bytes)
+                }
+                if (bytes.length() > AnswerPart.BODY.maxBytes) return TooLarge
+            }
+        }
+    }
+}
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/DigestCheck.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/DigestCheck.kt
@@ -25,6 +25,7 @@
         isReady = isReady,
         demand = demand.filter { it.requestsPerSecond.toDouble().isUsable() },
         statedLimits = statedLimits.filter { it.isUsable() },
+        leavingRuns = leavingRuns.filter { it.incarnation in numbers },
     )
 
 private fun TargetLoadEntry.isUsable() =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -110,6 +110,13 @@
     @ProtoNumber(4) val agoMilliseconds: Long = 0,
 )
 
+/** Run of a target that said in an answer to the sending member that it is leaving. */
+@Serializable
+internal class LeavingRunEntry(
+    @ProtoNumber(1) val target: String,
+    @ProtoNumber(2) val incarnation: Long,
+)
+
 /**
  * Summary of a member's state, which it sends to the others several times per second.
  *
@@ -135,4 +142,5 @@
     @ProtoNumber(12) val isReady: Boolean = true,
     @ProtoNumber(13) val demand: List<ServiceDemandEntry> = emptyList(),
     @ProtoNumber(14) val statedLimits: List<StatedLimitEntry> = emptyList(),
+    @ProtoNumber(15) val leavingRuns: List<LeavingRunEntry> = emptyList(),
 )
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnections.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnections.kt
@@ -42,6 +42,11 @@
     /** Returns a connection whose last answer was read completely to the pool. */
     fun release(connection: TargetConnection) {
         connection.markIdle()
+        returnUnused(connection)
+    }
+
+    /** Returns a connection that was acquired and carried no request. */
+    fun returnUnused(connection: TargetConnection) {
         if (connection.isReusable(MAX_IDLE_MILLISECONDS)) idle.addLast(connection) else discard(connection)
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
@@ -35,6 +35,14 @@
     fun serving(service: ServiceSettings): List<ServingTarget> =
         registry.serving(service.name, domainsOutOfService).map { ServingTarget(it, getOrCreate(it, service)) }
 
+    /** Returns whether the run of [registered] can still receive new requests. */
+    fun isServing(registered: RegisteredTarget): Boolean {
+        val known = registry.find(registered.registration.id) ?: return false
+        return known.registration.incarnation == registered.registration.incarnation &&
+            !known.isLeaving &&
+            known.registration.failureDomain !in domainsOutOfService
+    }
+
     /** Returns the target [id], or null if this process has not used it. */
     fun find(id: TargetId): Target? = targets[id]
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/PlatformNamesTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/PlatformNamesTest.kt
@@ -12,7 +12,7 @@
     Regex(
         "X-Key|X-Tenant|X-Deadline|X-Expect-Instance|X-Response-Seal|X-Not-Executed|X-Prompt-Prefix|X-Token-Counts|" +
             "X-Length-Hint|X-Model|X-Hold|X-Pin-Ms|X-Kv-|Kv-From|Kv-Fetch|TOUCANRELAY_BOOT|max-attempts|gap-goal|" +
-            "Server-Limit|max-connections|cold-start-s|cold-per-s|tokens-per-s|max-header-bytes|max-body-bytes|rows-get|rows-feed|rows-tx|api-keys|kv-tokens|evacuat|cold-remaining|latency-goal|wait-ms",
+            "Server-Limit|Server-Leaving|max-connections|cold-start-s|cold-per-s|tokens-per-s|max-header-bytes|max-body-bytes|rows-get|rows-feed|rows-tx|api-keys|kv-tokens|evacuat|cold-remaining|latency-goal|wait-ms",
     )
 
 class PlatformNamesTest :
