Let targets of the soak leave by their answers only and refuse with every kind of Retry-After

StatementPlan draws when targets say that they are leaving, without a word in the store, and restart, and when they refuse all requests with a number, a date, zero or text. StatementArrivals checks from what targets see that nothing reaches a target 2.5 s after a gateway passed on such an answer, and at most two requests within a back-off, unless the gateway or the connections were disturbed.

--- a/soak/src/test/kotlin/toucanrelay/soak/CrashableTarget.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/CrashableTarget.kt
@@ -19,6 +19,16 @@
     /** The link through which gateways reach the target once it is started. */
     lateinit var link: CuttableLink
         private set
+
+    /** Number of the present run. */
+    @Volatile
+    var run = 1
+        private set
+
+    /** Whether the present run says in its answers that it is leaving. */
+    @Volatile
+    var isLeaving = false
+
     private val isDown = AtomicBoolean()
     private var linkPort = 0
 
@@ -36,6 +46,8 @@
         link.cut()
         standIn.stop()
         delay(DOWN_MILLISECONDS)
+        run++
+        isLeaving = false
         standIn.start()
         link.restore()
         register()
--- a/soak/src/test/kotlin/toucanrelay/soak/FaultPlan.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/FaultPlan.kt
@@ -72,6 +72,9 @@
         /** Number of gateways in a run, and of targets. */
         const val GATEWAYS = 3
 
+        /** Returns the index of the gateway that the call [id] was sent to. */
+        fun gatewayOf(id: String): Int = id.substringAfterLast('-').toInt()
+
         /** Duration of the load; every fault ends before. */
         const val LOAD_MILLISECONDS = 12_000L
         private const val FAULTS = 6
--- a/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
@@ -47,7 +47,7 @@
 
     /** When each gateway was restarted or paused. */
     private val gatewayDisturbances = List(FaultPlan.GATEWAYS) { Disturbances(clock, CONTACT_MILLISECONDS) }
-    private val targets = SoakTargets(vertx, store, clock, history, ::isUndisturbed)
+    private val targets = SoakTargets(vertx, store, clock, history, gatewayDisturbances)
     private val caller =
         CallerStandIn(
             vertx.createHttpClient(
@@ -67,11 +67,14 @@
             val revokedAt = runLoad()
             val violations =
                 history.violations(REVOKED_KEY, revokedAt + REVOCATION_MILLISECONDS) +
-                    targets.arrivals.violations(LIMIT_PER_SECOND) + awaitRecovery()
+                    targets.arrivals.violations(LIMIT_PER_SECOND) +
+                    targets.statements.violations() +
+                    awaitRecovery()
             return violations +
                 listOfNotNull(
                     "no call succeeded".takeIf { history.successes == 0 },
                     "no target crashed".takeIf { targets.arrivals.crashes == 0 },
+                    "no target said anything of itself".takeIf { targets.statements.statements == 0 },
                 )
         } finally {
             gateways.forEach { it.kill() }
@@ -116,7 +119,7 @@
             revokedAt
         }
 
-    /** Lets targets fall silent and changes the configuration as planned. */
+    /** Lets targets fall silent, leave and refuse requests, and changes the configuration, as planned. */
     private suspend fun makeChanges() =
         coroutineScope {
             val plan = ChangePlan(seed)
@@ -126,6 +129,19 @@
                     targets.fallSilent(silence)
                 }
             }
+            val statements = StatementPlan(seed)
+            statements.leavings.forEach { planned ->
+                launch {
+                    delay(planned.startMilliseconds)
+                    targets.leave(planned)
+                }
+            }
+            statements.refusals.forEach { planned ->
+                launch {
+                    delay(planned.startMilliseconds)
+                    targets.refuse(planned)
+                }
+            }
             plan.changes.forEach { planned ->
                 launch {
                     delay(planned.startMilliseconds)
@@ -188,12 +204,6 @@
         gatewayDisturbances[fault.index].during(action)
     }
 
-    /** Returns whether the gateway to which the call [id] was sent is undisturbed now. */
-    private fun isUndisturbed(id: String): Boolean {
-        val now = clock.nowMilliseconds()
-        return !gatewayDisturbances[id.substringAfterLast('-').toInt()].overlap(now, now)
-    }
-
     private suspend fun serveStore() {
         store.behaviour = StoreBehaviour.SERVE
     }
@@ -243,6 +253,7 @@
         val sentAt = clock.nowMilliseconds()
         val outcome = send(id, kind, key, gateway, body)
         val endedAt = clock.nowMilliseconds()
+        if (outcome is CallOutcome.Answered) targets.recordPassedOn(outcome.response, gateway, sentAt)
         val mustBeAnswered =
             body != CRASHING_BODY &&
                 !gatewayDisturbances[gateway].overlap(sentAt, endedAt) &&
--- a/soak/src/test/kotlin/toucanrelay/soak/SoakTargets.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/SoakTargets.kt
@@ -8,12 +8,14 @@
 import kotlinx.coroutines.launch
 import toucanrelay.core.time.Clock
 import toucanrelay.platform.standin.ReceivedRequest
+import toucanrelay.platform.standin.ReceivedResponse
 import toucanrelay.platform.standin.StoreStandIn
 import toucanrelay.platform.standin.TargetScript
 import toucanrelay.platform.standin.TargetStandIn
 import toucanrelay.standins.CuttableLink
 import toucanrelay.standins.LinkSettings
 import java.util.concurrent.atomic.AtomicLongArray
+import java.util.concurrent.atomic.AtomicReferenceArray
 
 /** Body of the requests on which targets crash. */
 internal const val CRASHING_BODY = "crash"
@@ -26,16 +28,16 @@
 private const val LIMIT_END_MILLISECONDS = 11_000L
 
 /**
- * The targets of a run, which answer calls, crash, state limits and fall silent.
+ * The targets of a run, which answer calls, crash, state limits, fall silent, refuse calls and say that they are leaving.
  *
- * @param isUndisturbed returns whether the gateway that the call with an id was sent to is undisturbed.
+ * @param disturbances when each gateway was disturbed.
  */
 internal class SoakTargets(
     private val vertx: Vertx,
     private val store: StoreStandIn,
     private val clock: Clock,
     private val history: CallHistory,
-    private val isUndisturbed: (String) -> Boolean,
+    private val disturbances: List<Disturbances>,
 ) {
     private val scope = CoroutineScope(vertx.dispatcher())
     private val targets = List(FaultPlan.GATEWAYS) { create("target-$it", SoakConfiguration.SERVICE) }
@@ -48,6 +50,13 @@
     /** When targets broke off answers or lost them. */
     val breaks = Disturbances(clock, BREAK_MILLISECONDS)
 
+    /** What targets received after they had said that they were leaving or wanted no requests. */
+    val statements =
+        StatementArrivals { gateway, from, until ->
+            !disturbances[gateway].overlap(from, until) && !breaks.overlap(from, until)
+        }
+    private val retryAfterByTarget = AtomicReferenceArray<String?>(FaultPlan.GATEWAYS)
+
     /** When the load started; far in the future before. */
     @Volatile
     var loadStartedAtMilliseconds = Long.MAX_VALUE / 2
@@ -86,9 +95,45 @@
         silentUntilMilliseconds.set(silence.target, clock.nowMilliseconds() + silence.durationMilliseconds)
     }
 
+    /** Lets a target say in its answers that it is leaving, and restarts it at the end. */
+    suspend fun leave(planned: PlannedLeaving) {
+        val target = targets[planned.target]
+        val run = target.run
+        target.isLeaving = true
+        delay(planned.durationMilliseconds)
+        if (target.run == run) breaks.during { target.crash() }
+    }
+
+    /** Lets a target refuse all requests for a while. */
+    suspend fun refuse(planned: PlannedRefusal) {
+        retryAfterByTarget.set(planned.target, planned.retryAfter)
+        delay(planned.durationMilliseconds)
+        retryAfterByTarget.set(planned.target, null)
+    }
+
+    /** Records that a caller got [response] from the gateway with index [gateway] to a call sent at [sentAtMilliseconds]. */
+    fun recordPassedOn(response: ReceivedResponse, gateway: Int, sentAtMilliseconds: Long) {
+        if ("server-leaving" !in response.headers) return
+        val target = targets.find { "seal.${it.standIn.id}" == response.headers["x-response-seal"] } ?: return
+        val now = clock.nowMilliseconds()
+        // Otherwise the answer may be of an earlier run.
+        if (!breaks.overlap(sentAtMilliseconds, now)) statements.recordLeavingTold(known(target, gateway), now)
+    }
+
+    private fun known(target: CrashableTarget, gateway: Int) = KnownRun(target.standIn.id, target.run, gateway)
+
+    private fun isUndisturbed(id: String): Boolean {
+        val now = clock.nowMilliseconds()
+        return !disturbances[FaultPlan.gatewayOf(id)].overlap(now, now)
+    }
+
     private fun answer(request: HttpServerRequest, received: ReceivedRequest, target: CrashableTarget) {
-        history.recordRun(received.id)
         val now = clock.nowMilliseconds()
+        val known = known(target, FaultPlan.gatewayOf(received.id))
+        statements.recordArrival(known, now)
+        if (target.isLeaving) target.standIn.stateLeaving(request)
+        retryAfterOf(target)?.let { return refuse(request, received, target, known, it) }
+        history.recordRun(received.id)
         if (received.body == CRASHING_BODY) {
             arrivals.recordCrash(now, isUndisturbed(received.id))
             scope.launch { breaks.during { target.crash() } }
@@ -104,6 +149,21 @@
         streamFrom(request, target, after + 1)
     }
 
+    private fun retryAfterOf(target: CrashableTarget): String? =
+        targets.indexOf(target).takeIf { it >= 0 }?.let { retryAfterByTarget.get(it) }
+
+    private fun refuse(
+        request: HttpServerRequest,
+        received: ReceivedRequest,
+        target: CrashableTarget,
+        known: KnownRun,
+        retryAfter: String,
+    ) {
+        retryAfter.toDoubleOrNull()?.let { statements.recordRefusal(known, clock.nowMilliseconds(), it) }
+        target.standIn.requestBackoff(request, retryAfter)
+        target.standIn.reject(request, received)
+    }
+
     private fun stateLimit(
         request: HttpServerRequest,
         received: ReceivedRequest,
