--- a/core/src/main/kotlin/toucanrelay/core/placement/PromptProfile.kt
+++ b/core/src/main/kotlin/toucanrelay/core/placement/PromptProfile.kt
@@ -25,8 +25,7 @@
     public val parts: ImmutableList<PromptPart>,
 ) {
     /** The parts that other requests may share with this one. */
-    public val sharedParts: ImmutableList<PromptPart>
-        get() = parts.dropLast(1).toPersistentList()
+    public val sharedParts: ImmutableList<PromptPart> = parts.dropLast(1).toPersistentList()
 
     /** Identifies prompts that should go to the same engines: the id of the last shared part, else of the only part. */
     public val affinityKey: String?
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/TargetAllowances.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/TargetAllowances.kt
@@ -60,6 +60,7 @@
         val stated = statedLimits.find(serving.target.id, serving.target.incarnation)
         val isCold = clock.nowMilliseconds() < serving.registered.coldUntilMilliseconds
         val cold = service.coldRequestsPerSecond?.takeIf { isCold }
+        if (stated == null && cold == null) return emptyList()
         return listOfNotNull(
             stated?.let { FleetRateLimit(maxOf(it, MIN_STATED_PER_SECOND), STATED_WINDOW_MILLISECONDS) },
             cold?.let { FleetRateLimit(it, COLD_WINDOW_MILLISECONDS) },
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
@@ -25,15 +25,27 @@
     private val clock: Clock,
     private val registry: TargetRegistry,
 ) {
+    private class ServingList(
+        val registered: List<RegisteredTarget>,
+        val serving: List<ServingTarget>,
+    )
+
     private val targets = HashMap<TargetId, Target>()
+    private val servingLists = HashMap<String, ServingList>()
     private val agent: HttpClientAgent = vertx.createHttpClient(clientOptions(), PoolOptions())
 
     /** Failure domains that operators have taken out of service. */
     var domainsOutOfService: PersistentSet<FailureDomainId> = persistentSetOf()
 
     /** Returns the targets of [service] that can receive new requests. */
-    fun serving(service: ServiceSettings): List<ServingTarget> =
-        registry.serving(service.name, domainsOutOfService).map { ServingTarget(it, getOrCreate(it, service)) }
+    fun serving(service: ServiceSettings): List<ServingTarget> {
+        val registered = registry.serving(service.name, domainsOutOfService)
+        // The registry returns the same list until something changes.
+        servingLists[service.name]?.takeIf { it.registered === registered }?.let { return it.serving }
+        val serving = registered.map { ServingTarget(it, getOrCreate(it, service)) }
+        servingLists[service.name] = ServingList(registered, serving)
+        return serving
+    }
 
     /** Returns whether the run of [registered] can still receive new requests. */
     fun isServing(registered: RegisteredTarget): Boolean {
