Stop gateways of tests at once where the end of a process is not under test

A shutdown takes 2.6 s at least, and most specs of the gateway waited for one after each case: BrokenStreamTest took 118 s for its 32 cases. No check changed.

--- a/gateway/src/test/kotlin/toucanrelay/gateway/AnswerEndedByOwnLagTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/AnswerEndedByOwnLagTest.kt
@@ -69,7 +69,7 @@
             }
         }
 
-        afterSpec { fixture.stop() }
+        afterSpec { fixture.kill() }
 
         describe("a target that sends events all the time") {
             it("is not taken for silent when the process's own event loop was held up") {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/BrokenStreamTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/BrokenStreamTest.kt
@@ -110,7 +110,7 @@
         fun received() = targets.flatMap { it.received }
 
         afterEach {
-            fixture.stop()
+            fixture.kill()
             targets.forEach { it.stop() }
         }
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/CutStreamTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/CutStreamTest.kt
@@ -14,7 +14,7 @@
     DescribeSpec({
         val fixture = GatewayFixture()
 
-        afterSpec { fixture.stop() }
+        afterSpec { fixture.kill() }
 
         describe("a stream that its target cuts off within an event") {
             it("never reaches its caller as a whole answer") {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/EarlierAnswerTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/EarlierAnswerTest.kt
@@ -56,7 +56,7 @@
         fun received() = targets.sumOf { it.received.size }
 
         afterEach {
-            fixture.stop()
+            fixture.kill()
             targets.forEach { it.stop() }
         }
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/EndlessAnswerTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/EndlessAnswerTest.kt
@@ -86,7 +86,7 @@
             fixture.store.putRegistration(fixture.targets[0].id, null)
         }
 
-        afterEach { fixture.stop() }
+        afterEach { fixture.kill() }
 
         describe("a target that sends without end") {
             ENDLESS_ANSWERS.forEach { answer ->
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayTest.kt
@@ -23,7 +23,7 @@
 
         fun script(script: TargetScript) = fixture.targets.forEach { it.script = script }
 
-        afterEach { fixture.stop() }
+        afterEach { fixture.kill() }
 
         describe("an answered request") {
             it("passes on the target's answer, and the organisation but not the key to the target") {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/LateReadRequestTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/LateReadRequestTest.kt
@@ -14,7 +14,7 @@
     DescribeSpec({
         val fixture = GatewayFixture()
 
-        afterSpec { fixture.stop() }
+        afterSpec { fixture.kill() }
 
         describe("requests that arrive while the event loop is held up, and whose callers leave before they are read") {
             it("are sent to no target") {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/OddEntryTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/OddEntryTest.kt
@@ -17,7 +17,7 @@
             fixture.start()
         }
 
-        afterEach { fixture.stop() }
+        afterEach { fixture.kill() }
 
         val deeplyNested = "{\"extra\":" + "[".repeat(DEPTH) + "]".repeat(DEPTH) + "}"
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/SettingsReloadTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/SettingsReloadTest.kt
@@ -20,7 +20,7 @@
                 file.writeText(fixture.settingsText(revocationMilliseconds = 301.0))
                 fixture.store.behaviour = StoreBehaviour.SILENT
                 fixture.eventually { fixture.send("/calls/x").status == 503 }
-                fixture.stop()
+                fixture.kill()
             }
         }
     })
--- a/gateway/src/test/kotlin/toucanrelay/gateway/SilentTargetTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/SilentTargetTest.kt
@@ -127,7 +127,7 @@
                 .map { it.id }
                 .filter { it in paths(prefixes) }
 
-        afterEach { fixture.stop() }
+        afterEach { fixture.kill() }
 
         describe("a target that falls silent and goes on completes the answers to requests that may run again") {
             it("when there is no other target") {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/StoreRestoreTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/StoreRestoreTest.kt
@@ -18,7 +18,7 @@
             fixture.start(REVOCATION_MILLISECONDS)
         }
 
-        afterEach { fixture.stop() }
+        afterEach { fixture.kill() }
 
         describe("a store that returns to an earlier copy") {
             it("does not end the service, and later changes come into force") {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/UnframedAnswerTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/UnframedAnswerTest.kt
@@ -52,7 +52,7 @@
         fun received() = targets.sumOf { it.received.size }
 
         afterEach {
-            fixture.stop()
+            fixture.kill()
             targets.forEach { it.stop() }
         }
 
