--- a/core/src/main/kotlin/toucanrelay/core/shutdown/DrainPolicy.kt
+++ b/core/src/main/kotlin/toucanrelay/core/shutdown/DrainPolicy.kt
@@ -4,14 +4,13 @@
  * A request that waits in a process that is shutting down.
  *
  * @property remainingMilliseconds time until its deadline.
- * @property longestMilliseconds longest recent time from sending such a request to its complete answer; null if none is
- *   known.
+ * @property times how long such requests have taken; null if that is not known.
  * @property objectiveMilliseconds latency objective of its route.
  * @property mayRunAgain whether its caller may send it again if its answer is cut off.
  */
 public data class DrainingRequest(
     public val remainingMilliseconds: Long,
-    public val longestMilliseconds: Long?,
+    public val times: AnswerTimes?,
     public val objectiveMilliseconds: Long,
     public val mayRunAgain: Boolean,
 )
@@ -27,13 +26,23 @@
 
     private fun expectedMilliseconds(request: DrainingRequest): Double =
         when {
-            request.mayRunAgain -> (request.longestMilliseconds ?: request.objectiveMilliseconds) * REPEATABLE_MARGIN
-            request.longestMilliseconds != null -> request.longestMilliseconds * AT_MOST_ONCE_MARGIN
-            else -> Double.POSITIVE_INFINITY
+            request.mayRunAgain -> {
+                MEAN_MARGIN *
+                    (request.times?.meanMilliseconds ?: request.objectiveMilliseconds.toDouble())
+            }
+
+            request.times != null -> {
+                LONGEST_MARGIN * request.times.longestMilliseconds
+            }
+
+            else -> {
+                Double.POSITIVE_INFINITY
+            }
         }
 
-    private const val REPEATABLE_MARGIN = 1.25
+    /** A request that may run again continues elsewhere if it takes longer than most. */
+    private const val MEAN_MARGIN = 2.0
 
-    /** Wider, since the caller of a request that was cut off cannot find out whether it has run. */
-    private const val AT_MOST_ONCE_MARGIN = 2.0
+    /** The caller of another request that is cut off cannot find out whether it has run. */
+    private const val LONGEST_MARGIN = 1.25
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/SendConditions.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/SendConditions.kt
@@ -29,7 +29,7 @@
         val draining =
             DrainingRequest(
                 request.deadlineAtMilliseconds - dependencies.clock.nowMilliseconds(),
-                dependencies.routeDurations.longestMilliseconds(request.route),
+                dependencies.routeDurations.timesOf(request.route),
                 request.route.latencyObjectiveMilliseconds,
                 request.route.mayRunAgain,
             )
