Keep what is known of targets' runs in one class

StatedLimits and TargetBackoffs each had the rule by which a later run of a target replaces an earlier one; NewestRuns has it now. Behaviour is the same: StatedLimitsTest, TargetBackoffsTest, StatedLimitSimulationTest, StatedLimitTest and RequestedBackoffTest pass, formatter and linter too.

--- a/core/src/main/kotlin/toucanrelay/core/allowance/StatedLimits.kt
+++ b/core/src/main/kotlin/toucanrelay/core/allowance/StatedLimits.kt
@@ -2,6 +2,7 @@
 
 import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.identity.TargetId
+import toucanrelay.core.target.NewestRuns
 import toucanrelay.core.time.Clock
 
 /**
@@ -14,15 +15,13 @@
     private val clock: Clock,
     private val observer: StatedLimitObserver? = null,
 ) {
-    private class Entry(
-        val incarnation: Incarnation,
-    ) {
+    private class Entry {
         var newest: LimitStatement? = null
         var own: LimitStatement? = null
         var isUnreadableReported = false
     }
 
-    private val entries = HashMap<TargetId, Entry>()
+    private val entries = NewestRuns { Entry() }
 
     /** Number of targets that state a limit. */
     public val limitedTargets: Int
@@ -30,7 +29,7 @@
 
     /** Returns the limit that the run [incarnation] of [target] states, or null. */
     public fun find(target: TargetId, incarnation: Incarnation): Double? =
-        entries[target]?.takeIf { it.incarnation == incarnation }?.newest?.requestsPerSecond
+        entries.find(target, incarnation)?.newest?.requestsPerSecond
 
     /** Records an answer of the run [incarnation] of [target] to a request sent at [sentAtMilliseconds]. */
     public fun recordAnswer(
@@ -46,7 +45,7 @@
                 is StatedLimit.Unreadable -> return reportUnreadable(target, incarnation, stated)
             }
         if (statement.requestsPerSecond == null && find(target, incarnation) == null) return
-        val entry = entryOf(target, incarnation) ?: return
+        val entry = entries.getOrCreate(target, incarnation) ?: return
         entry.own = newer(entry.own, statement)
         apply(target, entry, statement)
     }
@@ -54,14 +53,14 @@
     /** Adds the [statement] of the run [incarnation] of [target] that another instance read. */
     public fun merge(target: TargetId, incarnation: Incarnation, statement: LimitStatement) {
         if (statement.requestsPerSecond == null && find(target, incarnation) == null) return
-        entryOf(target, incarnation)?.let { apply(target, it, statement) }
+        entries.getOrCreate(target, incarnation)?.let { apply(target, it, statement) }
     }
 
     /** Returns the recent statements that this instance read itself, the newest first, at most [limit]. */
     public fun statementsToShare(limit: Int): List<SharedStatement> {
         val oldest = clock.nowMilliseconds() - SHARED_MILLISECONDS
         return entries
-            .mapNotNull { (target, entry) -> entry.own?.let { SharedStatement(target, entry.incarnation, it) } }
+            .mapNotNull { target, incarnation, entry -> entry.own?.let { SharedStatement(target, incarnation, it) } }
             .filter { it.statement.atMilliseconds >= oldest }
             .sortedByDescending { it.statement.atMilliseconds }
             .take(limit)
@@ -69,23 +68,15 @@
 
     /** Forgets the targets that are not in [registered]. */
     public fun retain(registered: Set<TargetId>) {
-        entries.keys.retainAll(registered)
+        entries.removeIf { target, _ -> target !in registered }
     }
 
     private fun reportUnreadable(target: TargetId, incarnation: Incarnation, stated: StatedLimit.Unreadable) {
-        val entry = entryOf(target, incarnation) ?: return
+        val entry = entries.getOrCreate(target, incarnation) ?: return
         if (!entry.isUnreadableReported) observer?.onUnreadable(target, stated.text)
         entry.isUnreadableReported = true
     }
 
-    /** Returns the entry of the run [incarnation], a new one if the known run is earlier; null if it is later. */
-    private fun entryOf(target: TargetId, incarnation: Incarnation): Entry? {
-        val known = entries[target]
-        if (known != null && known.incarnation > incarnation) return null
-        if (known != null && known.incarnation == incarnation) return known
-        return Entry(incarnation).also { entries[target] = it }
-    }
-
     private fun apply(target: TargetId, entry: Entry, statement: LimitStatement) {
         val before = entry.newest?.requestsPerSecond
         entry.newest = newer(entry.newest, statement)
--- a/core/src/main/kotlin/toucanrelay/core/backoff/TargetBackoffs.kt
+++ b/core/src/main/kotlin/toucanrelay/core/backoff/TargetBackoffs.kt
@@ -2,6 +2,7 @@
 
 import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.identity.TargetId
+import toucanrelay.core.target.NewestRuns
 import toucanrelay.core.time.Clock
 import kotlin.random.Random
 
@@ -16,16 +17,14 @@
     private val random: Random,
     private val observer: TargetBackoffObserver? = null,
 ) {
-    private class Entry(
-        val incarnation: Incarnation,
-    ) {
+    private class Entry {
         var untilMilliseconds = Long.MIN_VALUE / 2
         var triedAtMilliseconds = Long.MIN_VALUE / 2
         var isOnTrial = false
         var isUnreadableReported = false
     }
 
-    private val entries = HashMap<TargetId, Entry>()
+    private val entries = NewestRuns { Entry() }
 
     /** Number of targets that want no request now. */
     public val activeBackoffs: Int
@@ -33,13 +32,13 @@
 
     /** Returns the time for which the run [incarnation] of [target] still wants no request; zero if it does. */
     public fun remainingMilliseconds(target: TargetId, incarnation: Incarnation): Long {
-        val entry = find(target, incarnation) ?: return 0
+        val entry = entries.find(target, incarnation) ?: return 0
         return maxOf(0, entry.untilMilliseconds - clock.nowMilliseconds())
     }
 
     /** Returns whether a request may be sent to the run [incarnation] of [target] now. */
     public fun maySend(target: TargetId, incarnation: Incarnation): Boolean {
-        val entry = find(target, incarnation) ?: return true
+        val entry = entries.find(target, incarnation) ?: return true
         val now = clock.nowMilliseconds()
         if (now < entry.untilMilliseconds) return false
         return !entry.isOnTrial || now - entry.triedAtMilliseconds >= TRIAL_PERIOD_MILLISECONDS
@@ -47,7 +46,7 @@
 
     /** Records that a request is about to be sent to the run [incarnation] of [target]. */
     public fun recordSent(target: TargetId, incarnation: Incarnation) {
-        find(target, incarnation)?.triedAtMilliseconds = clock.nowMilliseconds()
+        entries.find(target, incarnation)?.triedAtMilliseconds = clock.nowMilliseconds()
     }
 
     /**
@@ -62,16 +61,24 @@
         sentAtMilliseconds: Long,
     ) {
         when (requested) {
-            is RequestedBackoff.For -> begin(target, entryOf(target, incarnation) ?: return, requested.milliseconds)
-            is RequestedBackoff.Unreadable -> reportUnreadable(target, incarnation, requested.text)
-            RequestedBackoff.None -> find(target, incarnation)?.let { endTrial(it, sentAtMilliseconds) }
+            is RequestedBackoff.For -> {
+                entries.getOrCreate(target, incarnation)?.let { begin(target, it, requested.milliseconds) }
+            }
+
+            is RequestedBackoff.Unreadable -> {
+                reportUnreadable(target, incarnation, requested.text)
+            }
+
+            RequestedBackoff.None -> {
+                entries.find(target, incarnation)?.let { endTrial(it, sentAtMilliseconds) }
+            }
         }
     }
 
     /** Forgets the targets that are not in [registered] and want requests again. */
     public fun retain(registered: Set<TargetId>) {
         val now = clock.nowMilliseconds()
-        entries.entries.removeIf { (target, entry) -> target !in registered && entry.untilMilliseconds <= now }
+        entries.removeIf { target, entry -> target !in registered && entry.untilMilliseconds <= now }
     }
 
     /** Begins a back-off, or extends the present one: of several that a target asks for, the longest holds. */
@@ -95,22 +102,11 @@
     }
 
     private fun reportUnreadable(target: TargetId, incarnation: Incarnation, text: String) {
-        val entry = entryOf(target, incarnation) ?: return
+        val entry = entries.getOrCreate(target, incarnation) ?: return
         if (!entry.isUnreadableReported) observer?.onUnreadable(target, text)
         entry.isUnreadableReported = true
     }
 
-    private fun find(target: TargetId, incarnation: Incarnation): Entry? =
-        entries[target]?.takeIf { it.incarnation == incarnation }
-
-    /** Returns the entry of the run [incarnation], a new one if the known run is earlier; null if it is later. */
-    private fun entryOf(target: TargetId, incarnation: Incarnation): Entry? {
-        val known = entries[target]
-        if (known != null && known.incarnation > incarnation) return null
-        if (known != null && known.incarnation == incarnation) return known
-        return Entry(incarnation).also { entries[target] = it }
-    }
-
     private companion object {
         /** Part of a back-off over which the instances that a target asked spread their return. */
         const val SPREAD_FRACTION = 0.25
