--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -70,11 +70,6 @@
     /** Keeps the gateway's event loop busy for [milliseconds]. */
     suspend fun occupyEventLoop(milliseconds: Long) = instance.occupyEventLoop(milliseconds)
 
-    suspend fun stop() {
-        instance.stop()
-        vertx.close().coAwait()
-    }
-
     /** Stops the gateway at once. */
     suspend fun kill() {
         instance.kill()
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayInstance.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayInstance.kt
@@ -54,12 +54,6 @@
         gateway.start()
     }
 
-    /** Finishes the gateway's active requests and stops it. */
-    suspend fun stop() {
-        gateway.stop()
-        vertx.close().coAwait()
-    }
-
     /** Stops the gateway at once. */
     suspend fun kill() {
         vertx.close().coAwait()
--- a/gateway/src/test/kotlin/toucanrelay/gateway/http/EndingLogTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/http/EndingLogTest.kt
@@ -11,7 +11,7 @@
         lateinit var fixture: GatewayFixture
 
         beforeEach { fixture = GatewayFixture().also { it.start() } }
-        afterEach { fixture.stop() }
+        afterEach { fixture.kill() }
 
         suspend fun count(meter: String) =
             checkNotNull(
