--- a/review/standins/ExtraBytes.java
+++ b/review/standins/ExtraBytes.java
@@ -22,15 +22,22 @@
 
     final Map<String, Integer> statusRunWith = new ConcurrentHashMap<>();
     final AtomicInteger extras = new AtomicInteger();
+    private final AtomicInteger others = new AtomicInteger();
     private final AtomicInteger answers = new AtomicInteger();
     private final Set<Socket> marked = ConcurrentHashMap.newKeySet();
 
     /** Returns the bytes that the faulty worker adds. */
     abstract String extra();
 
-    /** Returns whether the worker fails the request [number], which it runs all the same. */
+    /** Returns whether the worker fails the answer [number] of those that extra bytes precede, or of the others. */
     abstract boolean fails(int number);
 
+    /** Returns the method of the requests. */
+    abstract String method();
+
+    /** Returns the path of the requests. */
+    abstract String path();
+
     /** Judges the answer that a client has got to the request [id]. */
     abstract void judge(String id, Wire.Message answer);
 
@@ -58,7 +65,8 @@
     private boolean serve(Socket socket, Wire.Message request, boolean isFaulty) throws Exception {
         OutputStream out = socket.getOutputStream();
         String id = request.header("X-Request-Id");
-        if (marked.remove(socket)) {
+        boolean isPreceded = marked.remove(socket);
+        if (isPreceded) {
             record.line("worker: extra bytes before the answer to " + id);
             extras.incrementAndGet();
             out.write(Wire.bytes(extra()));
@@ -66,24 +74,24 @@
         }
         int number = isFaulty ? answers.incrementAndGet() : 0;
         Thread.sleep(86);
-        boolean hasFailed = fails(number);
+        boolean hasFailed = fails(isPreceded ? extras.get() : others.incrementAndGet());
         statusRunWith.put(id, hasFailed ? 500 : 200);
         record.line("worker: ran " + id + " with " + statusRunWith.get(id));
         out.write(Answers.whole(hasFailed ? "500 Internal Server Error" : "200 OK", request,
-            hasFailed ? "could not book " + id : "booked " + id));
+            hasFailed ? "failed " + id : "done " + id));
         out.flush();
         if (isFaulty && number % ANSWERS_PER_EXTRA == 0) marked.add(socket);
         return true;
     }
 
-    /** Books again and again on kept connections; each booking is one attempt. */
+    /** Asks again and again on kept connections; each request is one attempt. */
     private void call(int client, Gateway gateway, long endNanos) throws Exception {
         Client connection = null;
         for (int i = 0; System.nanoTime() < endNanos; i++) {
             String id = "c" + client + "-" + i;
             try {
                 if (connection == null) connection = new Client(gateway);
-                connection.send("POST", "/book/round", id, 6_000, "", Wire.bytes("one tin"));
+                connection.send(method(), path(), id, 6_000, "", method().equals("GET") ? null : Wire.bytes("one tin"));
                 Wire.Message answer = connection.receive();
                 if (answer == null) throw new IOException("closed");
                 record.line("client: " + id + " " + answer.firstLine + " " + answer.text().trim());
--- a/review/standins/RefusedAfterRun.java
+++ b/review/standins/RefusedAfterRun.java
@@ -19,6 +19,16 @@
         return false;
     }
 
+    @Override
+    String method() {
+        return "POST";
+    }
+
+    @Override
+    String path() {
+        return "/book/round";
+    }
+
     @Override
     void judge(String id, Wire.Message answer) {
         boolean isPromise = answer.status() == 503 || answer.status() == 429 || answer.status() == 408 || answer.status() == 421;
