--- a/review/standins/Gateway.java
+++ b/review/standins/Gateway.java
@@ -82,6 +82,16 @@
         new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     }
 
+    /** Writes the settings file anew, as the platform does when the settings change. */
+    void changeSettings() throws IOException {
+        Files.writeString(settings, Files.readString(settings) + "\n");
+    }
+
+    /** Returns the exit code of the process, or -1 if it runs. */
+    int exitCode() {
+        return process.isAlive() ? -1 : process.exitValue();
+    }
+
     String output() throws IOException {
         return Files.readString(output);
     }
