--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -34,8 +35,14 @@
     }
 
     @Override
-    public void close() {
+    public synchronized void close() {
         gateways.forEach(Gateway::end);
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+            for (Path file : files) Files.delete(file);
+            Files.delete(folder);
+        } catch (IOException gone) {
+            // Closed before.
+        }
     }
 
     /** The configuration of the site kuitu-relay: routes to a plain service and to model workers, without tenants. */
