Bound what one body takes of a turn of the event loop

Cause: three that add up. EventSplitter copied all that followed in its buffer for each event, so that a read of n blank lines cost n^2/2 bytes. Each piece (a chunk, an event) was a queue entry, a step of a coroutine and a write of its own. And nothing bounded a turn: the loop read up to 1 MiB from a connection, and a relay went through all that was queued as long as its caller read fast.

Change: ReadLimit, 8 KiB of a connection in a turn, for targets and callers; IncomingBody joins what arrives in pieces and counts what a piece costs; of the bodies that arrive faster than they are handled, TurnQueue lets one go on in each turn; the splitter is linear, the events of a read are one write. Lines that are no event (no data, no id) are filler: they do not begin an answer, and 1 MiB between two events is too much, so such a target is suspected. The same queue reads the bodies of callers' requests.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -16,6 +16,7 @@
 import toucanrelay.core.target.TargetRegistry
 import toucanrelay.core.time.EpochClock
 import toucanrelay.core.time.MonotonicClock
+import toucanrelay.gateway.body.TurnQueue
 import toucanrelay.gateway.dispatch.Admission
 import toucanrelay.gateway.dispatch.CrashDetector
 import toucanrelay.gateway.dispatch.FairShares
@@ -63,7 +64,9 @@
     val ageClock = SuspensionAwareClock(MonotonicClock, EpochClock)
     val configurations = ConfigurationRegister(ageClock)
     val targets = TargetRegistry(clock, EXPIRY_GRACE_MILLISECONDS)
-    val pool = TargetPool(vertx, clock, targets)
+    private val loopTurn = LoopTurn(vertx)
+    private val turns = TurnQueue(loopTurn::runAfter)
+    val pool = TargetPool(vertx, clock, targets, turns)
     val fleet = FleetView(settings.instanceId, settings.region, clock) { settings.regionOf(it) }
     val recentReads = RecentPromptReads()
     val organisationUsage = OrganisationUsage(clock)
@@ -141,7 +144,8 @@
             RequestRunners(runnerDependencies),
             configurations,
             loopLag,
-            LoopTurn(vertx),
+            loopTurn,
+            turns,
             endings,
             meters,
             log,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/LoopTurn.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/LoopTurn.kt
@@ -19,7 +19,12 @@
     /** Suspends until the event loop has read from its connections once more; to be called on the event loop. */
     suspend fun await(): Unit =
         suspendCancellableCoroutine { continuation ->
-            // A task that is added at the end of an iteration runs after the reads of the next one.
-            loop.executeAfterEventLoopIteration { loop.execute { continuation.resume(Unit) } }
+            runAfter { continuation.resume(Unit) }
         }
+
+    /** Runs [action] once the event loop has read from its connections once more; to be called on the event loop. */
+    fun runAfter(action: () -> Unit) {
+        // A task that is added at the end of an iteration runs after the reads of the next one.
+        loop.executeAfterEventLoopIteration { loop.execute(action) }
+    }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -5,9 +5,9 @@
 import toucanrelay.core.retry.TargetOutcome
 import toucanrelay.core.target.TargetRegistration
 import toucanrelay.core.time.Clock
+import toucanrelay.gateway.body.IncomingBody
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.CallerResponder
-import toucanrelay.gateway.target.AnswerBody
 import toucanrelay.gateway.target.AnswerPart
 import toucanrelay.gateway.target.OutgoingRequest
 import toucanrelay.gateway.target.TargetAnswer
@@ -37,7 +37,7 @@
     private val claim: (Attempt) -> Unit,
 ) : HedgeableAttempt {
     private var connection: TargetConnection? = null
-    private var answerBody: AnswerBody? = null
+    private var answerBody: IncomingBody? = null
 
     /** Whether the answer was read completely, so that the connection can carry another request. */
     private var isComplete = false
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/StreamRelay.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/StreamRelay.kt
@@ -2,11 +2,13 @@
 
 import io.vertx.core.buffer.Buffer
 import toucanrelay.core.time.Clock
+import toucanrelay.gateway.body.BodyPart
 import toucanrelay.gateway.http.CallerResponder
 import toucanrelay.gateway.http.EventSplitter
 import toucanrelay.gateway.http.ServerSentEvent
+import toucanrelay.gateway.http.StreamFiller
+import toucanrelay.gateway.http.StreamPart
 import toucanrelay.gateway.target.AnswerPart
-import toucanrelay.gateway.target.BodyPart
 import toucanrelay.gateway.target.TargetAnswer
 
 /** How passing on a stream ended. */
@@ -34,7 +36,7 @@
  * Passes on the events of a stream as they arrive.
  *
  * @param claim called before an event is passed on, so that no other attempt at the request continues.
- * @param onEvent called before each event is written.
+ * @param onEvent called before each event is passed on.
  */
 internal class StreamRelay(
     private val answer: TargetAnswer,
@@ -47,6 +49,12 @@
     private val splitter = EventSplitter()
     private val order = EventOrder(progress)
 
+    /** Filler that has arrived before the first event that is passed on. */
+    private var held = Buffer.buffer()
+
+    /** Bytes of filler that have arrived since the last event. */
+    private var bytesSinceEvent = 0
+
     /** Number of events passed on. */
     var events: Int = 0
         private set
@@ -63,50 +71,82 @@
     suspend fun run(): StreamEnd {
         while (true) {
             when (val part = answer.body.next()) {
-                is BodyPart.Bytes -> relayEvents(part.buffer)?.let { return it }
+                is BodyPart.Bytes -> relayParts(part.buffer)?.let { return it }
                 is BodyPart.Broken -> return StreamEnd.BrokenOff("stream was cut off: ${part.detail}")
                 BodyPart.End -> return end()
             }
         }
     }
 
-    /** Passes on the events that [bytes] complete; returns how the stream ended if it is invalid. */
-    private suspend fun relayEvents(bytes: Buffer): StreamEnd? {
-        for (event in splitter.feed(bytes)) {
-            when (val decision = order.decide(event)) {
-                EventDecision.Pass -> relay(event)
-                EventDecision.Omit -> Unit
-                is EventDecision.Reject -> return StreamEnd.Invalid(decision.detail)
-            }
+    /** Passes on what [bytes] complete, in one write; returns how the stream ended if it is invalid. */
+    private suspend fun relayParts(bytes: Buffer): StreamEnd? {
+        val passed = Buffer.buffer()
+        val problem = splitter.feed(bytes).firstNotNullOfOrNull { relay(it, passed) }
+        if (passed.length() > 0) write(passed)
+        return problem ?: tooLarge()
+    }
+
+    /** Appends [part] to [passed] if it is passed on; returns how the stream ended if it is invalid. */
+    private fun relay(part: StreamPart, passed: Buffer): StreamEnd? {
+        when (part) {
+            is StreamFiller -> relayFiller(part, passed)
+            is ServerSentEvent -> return relayEvent(part, passed)
         }
-        return if (splitter.partialEventBytes >
-            AnswerPart.EVENT.maxBytes
-        ) {
-            StreamEnd.TooLarge(AnswerPart.EVENT)
-        } else {
-            null
+        return null
+    }
+
+    /** Holds [filler] back until the first event, since other attempts may still answer. */
+    private fun relayFiller(filler: StreamFiller, passed: Buffer) {
+        bytesSinceEvent += filler.bytes.length()
+        if (events > 0) passed.appendBuffer(filler.bytes) else held.appendBuffer(filler.bytes)
+    }
+
+    private fun relayEvent(event: ServerSentEvent, passed: Buffer): StreamEnd? {
+        bytesSinceEvent = 0
+        val leading = held
+        held = Buffer.buffer()
+        when (val decision = order.decide(event)) {
+            EventDecision.Omit -> return null
+            is EventDecision.Reject -> return StreamEnd.Invalid(decision.detail)
+            EventDecision.Pass -> Unit
         }
+        if (events == 0) claim()
+        onEvent()
+        order.recordPassed(event)
+        events++
+        passed.appendBuffer(leading).appendBuffer(event.bytes)
+        return null
     }
 
-    private suspend fun relay(event: ServerSentEvent) {
-        claim()
+    private suspend fun write(passed: Buffer) {
         if (!responder.hasBegun) {
             progress.mediaType = answer.mediaType
             responder.beginStream(answer.status, answer.headers)
         }
-        onEvent()
-        order.recordPassed(event)
-        events++
         isWriting = true
-        responder.writeChunk(event.bytes)
+        responder.writeChunk(passed)
         isWriting = false
         lastPartAtMilliseconds = clock.nowMilliseconds()
     }
 
+    /** Returns the end of a stream in which more follows an event than a valid one has before the next one is complete. */
+    private fun tooLarge(): StreamEnd? =
+        StreamEnd.TooLarge(AnswerPart.EVENT).takeIf {
+            bytesSinceEvent + splitter.partialEventBytes > AnswerPart.EVENT.maxBytes
+        }
+
     private fun end(): StreamEnd =
         when {
-            splitter.hasPartialEvent || !responder.hasBegun -> StreamEnd.BrokenOff("stream ended within an event")
-            events == 0 && !answer.isFramed -> StreamEnd.BrokenOff("resumed stream ended without events or length")
-            else -> StreamEnd.Complete
+            splitter.hasPartialEvent || held.length() > 0 || !responder.hasBegun -> {
+                StreamEnd.BrokenOff("stream ended within an event")
+            }
+
+            events == 0 && !answer.isFramed -> {
+                StreamEnd.BrokenOff("resumed stream ended without events or length")
+            }
+
+            else -> {
+                StreamEnd.Complete
+            }
         }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/WholeBody.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/WholeBody.kt
@@ -1,9 +1,9 @@
 package toucanrelay.gateway.dispatch
 
 import io.vertx.core.buffer.Buffer
-import toucanrelay.gateway.target.AnswerBody
+import toucanrelay.gateway.body.BodyPart
+import toucanrelay.gateway.body.IncomingBody
 import toucanrelay.gateway.target.AnswerPart
-import toucanrelay.gateway.target.BodyPart
 
 /** How reading the whole body of an answer ended. */
 internal sealed interface WholeBody {
@@ -22,13 +22,19 @@
 
     companion object {
         /** Reads [body] to its end. */
-        suspend fun read(body: AnswerBody): WholeBody {
+        suspend fun read(body: IncomingBody): WholeBody {
             val bytes = Buffer.buffer()
             while (true) {
                 when (val part = body.next()) {
                     is BodyPart.Bytes -> bytes.appendBuffer(part.buffer)
-                    is BodyPart.Broken -> return Broken(part.detail)
-                    BodyPart.End -> return Complete(bytes)
+
+                    is BodyPart.Broken -> {
+                        return Broken(part.detail)
+                    }
+
+                    BodyPart.End -> {
+                        return Complete(bytes)
+                    }
                 }
                 if (bytes.length() > AnswerPart.BODY.maxBytes) return TooLarge
             }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -13,6 +13,8 @@
 import toucanrelay.core.overload.OverloadWithdrawal
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.Clock
+import toucanrelay.gateway.body.ConnectionChannels
+import toucanrelay.gateway.body.ReadLimit
 import java.util.concurrent.TimeUnit
 
 /** HTTP server for callers. */
@@ -73,6 +75,7 @@
     }
 
     private fun watch(connection: HttpConnection) {
+        ReadLimit.applyTo(ConnectionChannels.ofServer(connection))
         val opened = CallerConnection(connection)
         openByConnection[connection] = opened
         connections.recordOpened(opened)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/EventSplitter.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/EventSplitter.kt
@@ -2,60 +2,128 @@
 
 import io.vertx.core.buffer.Buffer
 
+/** Complete lines of an event stream. */
+internal sealed interface StreamPart {
+    /** The lines, with the blank line that ends them. */
+    val bytes: Buffer
+}
+
 /**
- * A complete server-sent event.
+ * A complete server-sent event: lines of which one has data or an id.
  *
  * @property id null if the event has no numeric id.
  */
 internal class ServerSentEvent(
     val id: Long?,
-    val bytes: Buffer,
-)
+    override val bytes: Buffer,
+) : StreamPart
+
+/** Lines between two events that are part of neither, such as blank lines and comments. */
+internal class StreamFiller(
+    override val bytes: Buffer,
+) : StreamPart
 
-/** Splits a byte stream into complete server-sent events, so that a caller never receives a partial one. */
+/**
+ * Splits a byte stream into complete server-sent events, so that a caller never receives a partial one.
+ *
+ * Its work grows with the number of bytes, however they are divided into pieces and lines.
+ */
 internal class EventSplitter {
     private var pending = Buffer.buffer()
+
+    /** Position in [pending] up to which its bytes are split into parts that were returned. */
+    private var taken = 0
+
+    /** Position of the first line after the last event or filler that is known to be complete. */
+    private var blockStart = 0
     private var lineStart = 0
     private var scanned = 0
+    private var isEvent = false
     private var id: Long? = null
 
     /** Whether bytes of an incomplete event are buffered. */
     val hasPartialEvent: Boolean
-        get() = pending.length() > 0
+        get() = partialEventBytes > 0
 
     /** Number of bytes of the incomplete event. */
     val partialEventBytes: Int
         get() = pending.length()
 
-    /** Buffers [bytes] and returns the events that they complete. */
-    fun feed(bytes: Buffer): List<ServerSentEvent> {
+    /** Buffers [bytes] and returns the parts that they complete. */
+    fun feed(bytes: Buffer): List<StreamPart> {
         pending.appendBuffer(bytes)
-        val events = mutableListOf<ServerSentEvent>()
+        val parts = mutableListOf<StreamPart>()
         while (scanned < pending.length()) {
-            if (pending.getByte(scanned) == LINE_FEED) endLine(events) else scanned++
+            if (pending.getByte(scanned++) == LINE_FEED) endLine(parts)
         }
-        return events
+        takeFiller(parts)
+        discardTaken()
+        return parts
     }
 
-    private fun endLine(events: MutableList<ServerSentEvent>) {
-        val line = pending.getString(lineStart, scanned).removeSuffix("\r")
-        scanned++
+    /** Handles the line that ends before [scanned]. */
+    private fun endLine(parts: MutableList<StreamPart>) {
+        val lineFeed = scanned - 1
+        val end =
+            if (lineFeed > lineStart &&
+                pending.getByte(lineFeed - 1) == CARRIAGE_RETURN
+            ) {
+                lineFeed - 1
+            } else {
+                lineFeed
+            }
+        if (end == lineStart) endBlock(parts) else readField(end)
         lineStart = scanned
-        if (line.startsWith(ID_FIELD)) id = line.removePrefix(ID_FIELD).trim().toLongOrNull()
-        if (line.isEmpty()) events += takeEvent()
     }
 
-    private fun takeEvent(): ServerSentEvent {
-        val event = ServerSentEvent(id, pending.getBuffer(0, scanned))
-        pending = pending.getBuffer(scanned, pending.length())
-        scanned = 0
-        lineStart = 0
+    private fun readField(end: Int) {
+        if (hasField(DATA_FIELD, end)) isEvent = true
+        if (!hasField(ID_FIELD, end)) return
+        isEvent = true
+        id = pending.getString(minOf(lineStart + ID_FIELD.length + 1, end), end).trim().toLongOrNull()
+    }
+
+    /** Returns whether the line that ends at [end] has the field [name]. */
+    private fun hasField(name: String, end: Int): Boolean {
+        val nameEnd = lineStart + name.length
+        if (nameEnd > end) return false
+        val isNamed = name.indices.all { pending.getByte(lineStart + it) == name[it].code.toByte() }
+        return isNamed && (nameEnd == end || pending.getByte(nameEnd) == COLON)
+    }
+
+    /** Handles the blank line before [scanned]; blocks that are no events are joined to one filler. */
+    private fun endBlock(parts: MutableList<StreamPart>) {
+        if (isEvent) {
+            takeFiller(parts)
+            parts += ServerSentEvent(id, pending.getBuffer(taken, scanned))
+            taken = scanned
+        }
+        blockStart = scanned
+        isEvent = false
         id = null
-        return event
+    }
+
+    private fun takeFiller(parts: MutableList<StreamPart>) {
+        if (taken == blockStart) return
+        parts += StreamFiller(pending.getBuffer(taken, blockStart))
+        taken = blockStart
+    }
+
+    /** Copies what is not taken; only after a part was, so that a long event that arrives in pieces is not copied often. */
+    private fun discardTaken() {
+        if (taken == 0) return
+        pending = pending.getBuffer(taken, pending.length())
+        blockStart -= taken
+        lineStart -= taken
+        scanned -= taken
+        taken = 0
     }
 
     private companion object {
         const val LINE_FEED = '\n'.code.toByte()
-        const val ID_FIELD = "id:"
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val COLON = ':'.code.toByte()
+        const val DATA_FIELD = "data"
+        const val ID_FIELD = "id"
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/ExchangeHandler.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/ExchangeHandler.kt
@@ -2,11 +2,14 @@
 
 import com.github.michaelbull.result.getOrElse
 import io.vertx.core.buffer.Buffer
-import kotlinx.coroutines.CompletableDeferred
+import io.vertx.core.http.HttpServerRequest
 import toucanrelay.core.configuration.ConfigurationRegister
 import toucanrelay.gateway.GatewayMeters
 import toucanrelay.gateway.LoopLag
 import toucanrelay.gateway.LoopTurn
+import toucanrelay.gateway.body.BodyPart
+import toucanrelay.gateway.body.IncomingBody
+import toucanrelay.gateway.body.TurnQueue
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.platform.PlatformHeaders
 import kotlin.random.Random
@@ -22,6 +25,7 @@
     private val register: ConfigurationRegister,
     private val loopLag: LoopLag,
     private val loopTurn: LoopTurn,
+    private val turns: TurnQueue,
     private val endings: EndingLog,
     private val meters: GatewayMeters,
     private val log: EventLog,
@@ -122,15 +126,34 @@
     /** Reads the whole body; returns null if it exceeds the configured limit. */
     private suspend fun readBody(exchange: CallerExchange): Buffer? {
         val limit = register.current?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES
-        val body = Buffer.buffer()
-        val result = CompletableDeferred<Buffer?>()
-        val request = exchange.request
-        request.exceptionHandler { result.completeExceptionally(CallerDisconnected()) }
-        request.handler { bytes ->
-            if (body.length() + bytes.length() > limit) result.complete(null) else body.appendBuffer(bytes)
+        val incoming = receiveBody(exchange.request)
+        try {
+            val body = Buffer.buffer()
+            while (body.length() <= limit) {
+                when (val part = incoming.next()) {
+                    is BodyPart.Bytes -> body.appendBuffer(part.buffer)
+                    is BodyPart.Broken -> throw CallerDisconnected()
+                    BodyPart.End -> return body
+                }
+            }
+            return null
+        } finally {
+            if (!exchange.isRead) discardRest(exchange.request)
         }
-        request.endHandler { result.complete(body) }
-        return result.await()
+    }
+
+    /** Reads on without keeping anything, so that the caller comes to read the response. */
+    private fun discardRest(request: HttpServerRequest) {
+        request.handler { }
+        request.resume()
+    }
+
+    private fun receiveBody(request: HttpServerRequest): IncomingBody {
+        val incoming = IncomingBody({ request.pause() }, { request.resume() }, turns)
+        request.exceptionHandler { incoming.add(BodyPart.Broken(it.toString())) }
+        request.handler { incoming.add(BodyPart.Bytes(it)) }
+        request.endHandler { incoming.add(BodyPart.End) }
+        return incoming
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/StrayByteDetector.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/StrayByteDetector.kt
@@ -8,9 +8,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.LastHttpContent
-import io.vertx.core.http.HttpConnection
-import io.vertx.core.http.impl.HttpClientConnectionInternal
-import io.vertx.core.http.impl.UnpooledHttpClientConnection
 
 /**
  * Detects bytes that a target sends outside of an answer: while no request waits, or after the end of an answer.
@@ -23,8 +20,6 @@
 internal class StrayByteDetector(
     private val onStray: () -> Unit,
 ) {
-    private var isAttached = false
-
     /** Whether a request was sent whose answer has not ended. */
     private var isAnswerDue = false
 
@@ -34,26 +29,18 @@
     /** Whether the decoder may have kept bytes, so that [current] does not show where an answer ends. */
     private var hasKeptBytes = false
 
-    /** Records that a request is about to be sent on [connection], and observes it from the first one on. */
-    fun recordRequest(connection: HttpConnection) {
-        if (!isAttached) attach(pipelineOf(connection))
-        isAnswerDue = true
-    }
-
-    /** Returns the handlers of [connection]; its public type, which wraps the one that has them, does not offer them. */
-    private fun pipelineOf(connection: HttpConnection): ChannelPipeline {
-        val wrapped = UnpooledHttpClientConnection::class.java.getDeclaredField("actual")
-        wrapped.isAccessible = true
-        return (wrapped.get(connection) as HttpClientConnectionInternal).channelHandlerContext().pipeline()
-    }
-
-    private fun attach(pipeline: ChannelPipeline) {
-        isAttached = true
+    /** Observes the connection with the handlers [pipeline]; to be called before its first request is sent. */
+    fun attach(pipeline: ChannelPipeline) {
         val decoder = pipeline.context(HttpClientCodec::class.java).name()
         pipeline.addBefore(decoder, "stray-bytes", ByteObserver())
         pipeline.addAfter(decoder, "answer-ends", AnswerObserver())
     }
 
+    /** Records that a request is about to be sent. */
+    fun recordRequest() {
+        isAnswerDue = true
+    }
+
     private fun recordAnswerEnd() {
         isAnswerDue = false
         if (hasKeptBytes || current?.isReadable == true) onStray()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
@@ -1,6 +1,7 @@
 package toucanrelay.gateway.target
 
 import io.vertx.core.MultiMap
+import toucanrelay.gateway.body.IncomingBody
 import toucanrelay.platform.TargetHeaders
 
 /** The status and headers of a target's answer, and its body as it arrives. */
@@ -8,7 +9,7 @@
     val status: Int,
     val headers: MultiMap,
     val parsedHeaders: TargetHeaders,
-    val body: AnswerBody,
+    val body: IncomingBody,
 ) {
     /** Whether the target reports success. */
     val isSuccess: Boolean
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnection.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnection.kt
@@ -6,12 +6,18 @@
 import io.vertx.core.http.HttpClientConnection
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpClientResponse
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import toucanrelay.core.time.Clock
+import toucanrelay.gateway.body.BodyPart
+import toucanrelay.gateway.body.ConnectionChannels
+import toucanrelay.gateway.body.IncomingBody
+import toucanrelay.gateway.body.ReadLimit
+import toucanrelay.gateway.body.TurnQueue
 import toucanrelay.platform.PlatformHeaders
 
 /** A request as it is sent to a target. */
@@ -26,6 +32,7 @@
 internal class TargetConnection(
     private val connection: HttpClientConnection,
     private val clock: Clock,
+    private val turns: TurnQueue,
     private val onReceived: () -> Unit,
 ) {
     private var keepAliveMilliseconds = DEFAULT_KEEP_ALIVE_MILLISECONDS
@@ -38,6 +45,9 @@
     /** Whether the connection carries no further request, since the target closes it or has sent stray bytes. */
     private var isLastExchange = false
 
+    /** Whether the handlers of the connection were set up, which its first request gives access to. */
+    private var isPrepared = false
+
     private val strayBytes = StrayByteDetector { isLastExchange = true }
 
     init {
@@ -63,7 +73,8 @@
         try {
             val options = RequestOptions().setMethod(outgoing.method).setURI(outgoing.uri)
             val request = connection.request(options).coAwait()
-            strayBytes.recordRequest(request.connection())
+            if (!isPrepared) prepare(request.connection())
+            strayBytes.recordRequest()
             request.headers().setAll(outgoing.headers)
             request.exceptionHandler { answer.completeExceptionally(it) }
             limitInformationalResponses(request, answer)
@@ -86,6 +97,13 @@
         }
     }
 
+    private fun prepare(opened: HttpConnection) {
+        isPrepared = true
+        val channel = ConnectionChannels.ofClient(opened)
+        ReadLimit.applyTo(channel)
+        strayBytes.attach(channel.pipeline())
+    }
+
     /** Records that the answer was read completely. */
     fun markIdle() {
         idleSinceMilliseconds = clock.nowMilliseconds()
@@ -120,7 +138,7 @@
     }
 
     private fun receive(response: HttpClientResponse): TargetAnswer {
-        val body = AnswerBody({ response.pause() }, { response.resume() })
+        val body = IncomingBody({ response.pause() }, { response.resume() }, turns)
         var isBroken = false
         onReceived()
         response.handler { bytes ->
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnections.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnections.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CancellationException
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.Clock
+import toucanrelay.gateway.body.TurnQueue
 import java.net.ConnectException
 
 /** Pool of the connections of this process to one target. */
@@ -14,6 +15,7 @@
     private val agent: HttpClientAgent,
     private val address: TargetAddress,
     private val clock: Clock,
+    private val turns: TurnQueue,
     private val onReceived: () -> Unit,
 ) {
     private val idle = ArrayDeque<TargetConnection>()
@@ -73,7 +75,7 @@
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
         val opening = agent.connect(options)
         try {
-            return TargetConnection(opening.coAwait(), clock, onReceived)
+            return TargetConnection(opening.coAwait(), clock, turns, onReceived)
         } catch (cancelled: CancellationException) {
             opening.onSuccess { it.close() }
             throw cancelled
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
@@ -12,6 +12,7 @@
 import toucanrelay.core.target.RegisteredTarget
 import toucanrelay.core.target.TargetRegistry
 import toucanrelay.core.time.Clock
+import toucanrelay.gateway.body.TurnQueue
 
 /** A target that can receive new requests, with its registration. */
 internal class ServingTarget(
@@ -24,6 +25,7 @@
     vertx: Vertx,
     private val clock: Clock,
     private val registry: TargetRegistry,
+    private val turns: TurnQueue,
 ) {
     private class ServingList(
         val registered: List<RegisteredTarget>,
@@ -78,7 +80,7 @@
         if (known != null && known.incarnation == registration.incarnation) return known
         known?.connections?.close()
         val target =
-            Target(registered, service, clock) { TargetConnections(agent, registration.address, clock, it) }
+            Target(registered, service, clock) { TargetConnections(agent, registration.address, clock, turns, it) }
         targets[registration.id] = target
         return target
     }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/EndlessTargetStandIn.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/EndlessTargetStandIn.kt
@@ -26,6 +26,9 @@
     /** Number of connections that are still open. */
     val open = AtomicInteger()
 
+    /** Number of open connections on which an answer has begun. */
+    val answering = AtomicInteger()
+
     /** Number of bytes that were written. */
     val writtenBytes = AtomicLong()
 
@@ -40,7 +43,11 @@
 
     private fun serve(socket: NetSocket) {
         open.incrementAndGet()
-        socket.closeHandler { open.decrementAndGet() }
+        var isAnswering = false
+        socket.closeHandler {
+            open.decrementAndGet()
+            if (isAnswering) answering.decrementAndGet()
+        }
         socket.exceptionHandler { socket.close() }
         val received = Buffer.buffer()
         socket.handler { bytes ->
@@ -48,6 +55,8 @@
             val id = REQUEST_ID.find(received.toString())?.groupValues?.get(1)
             if (id != null) {
                 requests.incrementAndGet()
+                answering.incrementAndGet()
+                isAnswering = true
                 socket.handler { }
                 socket.write(start.replace("REQUEST-ID", id))
                 fill(socket, Buffer.buffer(filler.repeat(BYTES_IN_A_WRITE / filler.length)))
--- a/gateway/src/test/kotlin/toucanrelay/gateway/http/CallerServerFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/http/CallerServerFixture.kt
@@ -19,6 +19,7 @@
 import toucanrelay.gateway.LoopLag
 import toucanrelay.gateway.LoopTurn
 import toucanrelay.gateway.TIMEOUT_MILLISECONDS
+import toucanrelay.gateway.body.TurnQueue
 import toucanrelay.gateway.log.EventLog
 import java.net.ServerSocket
 import kotlin.random.Random
@@ -36,12 +37,14 @@
     val register = ConfigurationRegister(MonotonicClock)
     private val endings = EndingLog(register, meters, log)
     private val loopLag = LoopLag(MonotonicClock, overloadThresholdMilliseconds = Double.POSITIVE_INFINITY)
+    private val loopTurn = LoopTurn(vertx)
     val handler =
         ExchangeHandler(
             { _, _, _, responder -> Ok(work(responder)) },
             register,
             loopLag,
-            LoopTurn(vertx),
+            loopTurn,
+            TurnQueue(loopTurn::runAfter),
             endings,
             meters,
             log,
