Bound the memory of answers that are kept whole by what they take together

What another operator reported: a faulty worker sent bytes without end, the machine kept them and ran out of memory. It could happen: each body may be 8 MiB, which bounds one, not forty in a heap of 110 MB.

Change: AnswerMemory divides a quarter of the heap among such answers; each may become as large as what is still free, so that a small one finds room beside forty endless ones. One that finds none is cut off as too large. Gauge toucanrelay_kept_answer_bytes.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -16,6 +16,7 @@
 import toucanrelay.core.target.TargetRegistry
 import toucanrelay.core.time.EpochClock
 import toucanrelay.core.time.MonotonicClock
+import toucanrelay.gateway.body.AnswerMemory
 import toucanrelay.gateway.body.TurnQueue
 import toucanrelay.gateway.dispatch.Admission
 import toucanrelay.gateway.dispatch.CrashDetector
@@ -114,6 +115,7 @@
                 )
             }
         }
+    val answerMemory = AnswerMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS)
     private val runnerDependencies =
         RunnerDependencies(
             clock = clock,
@@ -124,6 +126,7 @@
             organisationUsage = organisationUsage,
             serviceDemand = serviceDemand,
             statements = TargetStatements(statedLimits, leavingStatements, backoffs),
+            answerMemory = answerMemory,
             shutdown = shutdown,
             routeDurations = routeDurations,
             outputEstimates = outputEstimates,
@@ -191,6 +194,9 @@
     internal companion object {
         /** Registrations that expire during a store outage are renewed within two seconds after it. */
         const val EXPIRY_GRACE_MILLISECONDS = 2_200L
+
+        /** Answers that are kept whole take one of so many parts of the heap together. */
+        const val HEAP_PARTS = 4
         const val DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 60_000L
         const val REVOCATION_MARGIN_MILLISECONDS = 300.0
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayGauges.kt
@@ -24,6 +24,7 @@
     meters.gauge("toucanrelay_configuration_age_milliseconds") { configurations.ageMilliseconds() }
     meters.gauge("toucanrelay_limited_targets") { statedLimits.limitedTargets }
     meters.gauge("toucanrelay_backing_off_targets") { backoffs.activeBackoffs }
+    meters.gauge("toucanrelay_kept_answer_bytes") { answerMemory.keptBytes }
     tableCopies.forEach { (table, copy) ->
         meters.gauge("toucanrelay_table_age_milliseconds", Tags.of("table", table)) { copy.ageMilliseconds }
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -5,6 +5,7 @@
 import toucanrelay.core.retry.TargetOutcome
 import toucanrelay.core.target.TargetRegistration
 import toucanrelay.core.time.Clock
+import toucanrelay.gateway.body.AnswerMemory
 import toucanrelay.gateway.body.IncomingBody
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.CallerResponder
@@ -32,6 +33,7 @@
     private val clock: Clock,
     private val speed: EngineSpeed?,
     private val statements: TargetStatements,
+    private val memory: AnswerMemory.Share,
     private val reasonNotToSend: () -> String?,
     private val onReplaced: (TargetRegistration) -> Unit,
     private val claim: (Attempt) -> Unit,
@@ -83,6 +85,7 @@
             return recordTooLarge(failure.part)
         } finally {
             returnConnection()
+            memory.release()
             reservation.release()
         }
     }
@@ -126,7 +129,7 @@
     }
 
     private suspend fun readRejection(answer: TargetAnswer): AttemptResult {
-        val body = WholeBody.read(answer.body)
+        val body = WholeBody.read(answer.body, memory)
         isComplete = body is WholeBody.Complete
         progress.isAtTarget = false
         if (answer.parsedHeaders.isMisdirected) onReplaced(reservation.registered.registration)
@@ -142,7 +145,7 @@
 
     private suspend fun relayBuffered(answer: TargetAnswer): AttemptResult {
         val body =
-            when (val read = WholeBody.read(answer.body)) {
+            when (val read = WholeBody.read(answer.body, memory)) {
                 is WholeBody.Complete -> read.bytes
 
                 is WholeBody.Broken -> return recordBrokenOff(
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -69,6 +69,7 @@
             dependencies.clock,
             request.prompt?.let { dependencies.placer.speedOf(request.service, null) },
             dependencies.statements,
+            dependencies.answerMemory.newShare(),
             { dependencies.placer.reasonNotToSend(reservation) ?: TOO_LATE.takeIf { isOverdue() } },
             ::recordReplaced,
             claim,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RunnerDependencies.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RunnerDependencies.kt
@@ -6,6 +6,7 @@
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.GatewayMeters
 import toucanrelay.gateway.Shutdown
+import toucanrelay.gateway.body.AnswerMemory
 import toucanrelay.gateway.http.RequestIntake
 import toucanrelay.gateway.log.EventLog
 import kotlin.random.Random
@@ -20,6 +21,7 @@
     val organisationUsage: OrganisationUsage,
     val serviceDemand: ServiceDemand,
     val statements: TargetStatements,
+    val answerMemory: AnswerMemory,
     val shutdown: Shutdown,
     val routeDurations: RouteDurations,
     val outputEstimates: OutputEstimates,
