--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/StreamRelay.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/StreamRelay.kt
@@ -80,9 +80,11 @@
 
     /** Passes on what [bytes] complete, in one write; returns how the stream ended if it is invalid. */
     private suspend fun relayParts(bytes: Buffer): StreamEnd? {
+        val eventsBefore = events
         val passed = Buffer.buffer()
         val problem = splitter.feed(bytes).firstNotNullOfOrNull { relay(it, passed) }
         if (passed.length() > 0) write(passed)
+        if (events > eventsBefore) lastPartAtMilliseconds = clock.nowMilliseconds()
         return problem ?: tooLarge()
     }
 
@@ -110,7 +112,7 @@
             is EventDecision.Reject -> return StreamEnd.Invalid(decision.detail)
             EventDecision.Pass -> Unit
         }
-        if (events == 0) claim()
+        claim()
         onEvent()
         order.recordPassed(event)
         events++
@@ -126,7 +128,6 @@
         isWriting = true
         responder.writeChunk(passed)
         isWriting = false
-        lastPartAtMilliseconds = clock.nowMilliseconds()
     }
 
     /** Returns the end of a stream in which more follows an event than a valid one has before the next one is complete. */
