Write up the streams and bodies without end, and say once what a raw request for a stream is

The end of a line has a function of its own in EventSplitter; the test callers share the head of their request. No behaviour changes.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/EventSplitter.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/EventSplitter.kt
@@ -40,21 +40,20 @@
         return parts
     }
 
-    /** Handles the line that ends before [scanned]. */
+    /** Handles the line whose line feed is the byte before [scanned]. */
     private fun endLine(parts: MutableList<StreamPart>) {
-        val lineFeed = scanned - 1
-        val end =
-            if (lineFeed > lineStart &&
-                pending.getByte(lineFeed - 1) == CARRIAGE_RETURN
-            ) {
-                lineFeed - 1
-            } else {
-                lineFeed
-            }
+        val end = lineEnd()
         if (end == lineStart) endBlock(parts) else readField(end)
         lineStart = scanned
     }
 
+    /** Returns the position after the text of the line, whose end may begin with a carriage return. */
+    private fun lineEnd(): Int {
+        val lineFeed = scanned - 1
+        val hasReturn = lineFeed > lineStart && pending.getByte(lineFeed - 1) == CARRIAGE_RETURN
+        return if (hasReturn) lineFeed - 1 else lineFeed
+    }
+
     private fun readField(end: Int) {
         if (hasField(DATA_FIELD, end)) isEvent = true
         if (!hasField(ID_FIELD, end)) return
--- a/gateway/src/test/kotlin/toucanrelay/gateway/DrainingCaller.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/DrainingCaller.kt
@@ -1,6 +1,5 @@
 package toucanrelay.gateway
 
-import toucanrelay.platform.standin.ConfigurationDocumentBuilder
 import java.io.IOException
 import java.net.Socket
 import kotlin.concurrent.thread
@@ -19,20 +18,8 @@
         private set
 
     init {
-        val head =
-            listOf(
-                "POST $path HTTP/1.1",
-                "Host: ${ConfigurationDocumentBuilder.HOST}",
-                "Connection: close",
-                "Content-Length: 0",
-                "X-Request-Id: drain-${System.nanoTime()}",
-                "X-Deadline-Ms: $deadlineMilliseconds",
-                "X-Model: m",
-                "X-Token-Counts: 300,20",
-                "X-Prompt-Prefix: a1:100,b2:200",
-                "X-Key: $KEY",
-            )
-        socket.getOutputStream().write(head.joinToString("\r\n", postfix = "\r\n\r\n").toByteArray())
+        val head = RawStreamCaller.requestHead(path, "drain-${System.nanoTime()}", deadlineMilliseconds)
+        socket.getOutputStream().write(head.toByteArray())
         thread(isDaemon = true, name = "draining-caller") { drain() }
     }
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/RawStreamCaller.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/RawStreamCaller.kt
@@ -24,30 +24,33 @@
     private const val HEAD_END = "\r\n\r\n"
     private const val LINE_END = "\r\n"
     private const val HEXADECIMAL = 16
+    private const val DEADLINE_MILLISECONDS = 5_000L
     private const val READ_TIMEOUT_MILLISECONDS = 20_000
 
     /** Sends a request to [path] at [port] and reads until the connection ends. */
     fun send(port: Int, path: String, requestId: String = "raw-${System.nanoTime()}"): RawStream =
         Socket(LOOPBACK, port).use { socket ->
             socket.soTimeout = READ_TIMEOUT_MILLISECONDS
-            val head =
-                listOf(
-                    "POST $path HTTP/1.1",
-                    "Host: ${ConfigurationDocumentBuilder.HOST}",
-                    "Connection: close",
-                    "Content-Length: 0",
-                    "X-Request-Id: $requestId",
-                    "X-Deadline-Ms: 5000",
-                    "X-Model: m",
-                    "X-Token-Counts: 300,20",
-                    "X-Prompt-Prefix: a1:100,b2:200",
-                    "X-Key: $KEY",
-                )
-            socket.getOutputStream().write(head.joinToString(LINE_END, postfix = HEAD_END).toByteArray())
+            socket.getOutputStream().write(requestHead(path, requestId).toByteArray())
             socket.getOutputStream().flush()
             decode(readToEnd(socket))
         }
 
+    /** Returns the head of a request for a stream, which has no body. */
+    fun requestHead(path: String, requestId: String, deadlineMilliseconds: Long = DEADLINE_MILLISECONDS): String =
+        listOf(
+            "POST $path HTTP/1.1",
+            "Host: ${ConfigurationDocumentBuilder.HOST}",
+            "Connection: close",
+            "Content-Length: 0",
+            "X-Request-Id: $requestId",
+            "X-Deadline-Ms: $deadlineMilliseconds",
+            "X-Model: m",
+            "X-Token-Counts: 300,20",
+            "X-Prompt-Prefix: a1:100,b2:200",
+            "X-Key: $KEY",
+        ).joinToString(LINE_END, postfix = HEAD_END)
+
     private fun readToEnd(socket: Socket): String {
         val bytes = ByteArrayOutputStream()
         try {
