Handle SIGHUP from the first instruction of a process on

Cause: the handler was installed last, after the settings were read, Vert.x was created and all ports were bound. Until then the handler of the Java runtime stands, which ends the process. A handler alone would lose the signal: there is nothing to reload yet. Beside that, a signal was handled on the runtime's signal thread, and a change without a signal on the event loop, so that an older reading could win over a newer one.

Change: main installs ReloadSignal before it loads anything else; it keeps a signal until there is a gateway, which reloads then. All reloads run on the event loop, one after the other. Main holds nothing but that, so that little is loaded before it.

Evidence: ProcessStartTest keeps a process in the middle of reading its settings by a named pipe.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -96,12 +96,16 @@
 
     /** Reloads the settings file; invalid settings are logged and the previous ones remain in force. */
     fun reload() {
+        val guarded = supervisor.guarded("reload") { readSettings() }
+        vertx.runOnContext { guarded() }
+    }
+
+    private fun readSettings() {
         SettingsLoader
             .load(settingsFile)
             .onSuccess { loaded ->
                 components.settings = loaded
-                val released = loaded.releasedSuspects.mapNotNull { Suspect.parse(it) }
-                vertx.runOnContext { released.forEach { components.quarantine.release(it) } }
+                loaded.releasedSuspects.mapNotNull { Suspect.parse(it) }.forEach { components.quarantine.release(it) }
                 components.log.write("reload", "instance" to loaded.instance)
             }.onFailure { components.log.write("reload-failed", "detail" to it.detail) }
     }
@@ -111,7 +115,7 @@
         val modifiedAt = lastModified()
         if (modifiedAt == settingsModifiedAtMilliseconds) return
         settingsModifiedAtMilliseconds = modifiedAt
-        reload()
+        readSettings()
     }
 
     private fun lastModified(): Long = settingsFile.toFile().lastModified()
--- /dev/null
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayCommand.kt
@@ -0,0 +1,103 @@
+package toucanrelay.gateway
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.runBlocking
+import org.kohsuke.args4j.Argument
+import org.kohsuke.args4j.CmdLineException
+import org.kohsuke.args4j.CmdLineParser
+import org.kohsuke.args4j.Option
+import toucanrelay.gateway.selftest.SelfTest
+import toucanrelay.gateway.selftest.WarmUp
+import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.settings.SettingsLoader
+import toucanrelay.platform.SettingsLocation
+import java.nio.file.Path
+import kotlin.concurrent.thread
+import kotlin.system.exitProcess
+
+/** Command-line options of the gateway. */
+internal class GatewayArguments {
+    @Argument(
+        metaVar = "SETTINGS_FILE",
+        usage = "JSON settings file; default: the file named by \$${SettingsLocation.VARIABLE}",
+    )
+    var settingsFile: String? = null
+
+    @Option(name = "--check-settings", usage = "checks the settings file and exits")
+    var isCheckOnly: Boolean = false
+
+    @Option(
+        name = "--self-test",
+        usage = "serves requests between stand-ins on the loopback interface and exits with 0 on success",
+    )
+    var isSelfTest: Boolean = false
+
+    @Option(name = "--help", help = true, usage = "prints this help")
+    var help: Boolean = false
+}
+
+/**
+ * The command line of the gateway.
+ *
+ * @param reloadSignal tells when the settings file of a running gateway has changed.
+ */
+internal class GatewayCommand(
+    private val reloadSignal: ReloadSignal,
+) {
+    /** Runs the command with [arguments]; ends the process if it fails. */
+    fun run(arguments: List<String>) {
+        val parsed = GatewayArguments()
+        val parser = CmdLineParser(parsed)
+        try {
+            parser.parseArgument(arguments)
+        } catch (invalid: CmdLineException) {
+            exitWith("${invalid.message}; see --help")
+        }
+        if (parsed.help) return printHelp(parser)
+        if (parsed.isSelfTest) return runSelfTest()
+        val file =
+            parsed.settingsFile ?: SettingsLocation.fromEnvironment() ?: exitWith(
+                "SETTINGS_FILE is missing; see --help",
+            )
+        val settings = loadOrExit(file)
+        if (!parsed.isCheckOnly) serve(settings, Path.of(file))
+    }
+
+    private fun printHelp(parser: CmdLineParser) {
+        println("usage: toucanrelay-gateway [--check-settings] [SETTINGS_FILE]")
+        parser.printUsage(System.out)
+    }
+
+    private fun runSelfTest() {
+        val problem = runBlocking { SelfTest().run() }
+        if (problem != null) System.err.println("toucanrelay-gateway: self-test failed: $problem")
+        exitProcess(if (problem == null) EXIT_OK else EXIT_FAILED)
+    }
+
+    private fun loadOrExit(file: String): GatewaySettings =
+        SettingsLoader.load(Path.of(file)).fold(success = { it }, failure = { exitWith("$file: ${it.detail}") })
+
+    private fun exitWith(message: String): Nothing {
+        System.err.println("toucanrelay-gateway: $message")
+        exitProcess(EXIT_SETTINGS)
+    }
+
+    private fun serve(settings: GatewaySettings, file: Path) {
+        val gateway = Gateway(settings, file)
+        reloadSignal.deliverTo(gateway::reload)
+        try {
+            runBlocking { gateway.start() }
+        } catch (failure: Exception) {
+            System.err.println("toucanrelay-gateway: cannot start: $failure")
+            exitProcess(EXIT_FAILED)
+        }
+        thread(isDaemon = true, name = "warm-up") { runBlocking { WarmUp.run(gateway) } }
+        Runtime.getRuntime().addShutdownHook(Thread { runBlocking { gateway.stop() } })
+    }
+
+    private companion object {
+        const val EXIT_OK = 0
+        const val EXIT_FAILED = 1
+        const val EXIT_SETTINGS = 2
+    }
+}
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -50,9 +50,9 @@
 import toucanrelay.platform.StoreClient
 import kotlin.random.Random
 
-/** Creates and connects the components of a gateway process; all but [settings] are confined to the event loop. */
+/** Creates and connects the components of a gateway process; all are confined to the event loop. */
 internal class GatewayComponents(
-    @Volatile var settings: GatewaySettings,
+    var settings: GatewaySettings,
     val vertx: Vertx,
     val scope: CoroutineScope,
     val log: EventLog,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Main.kt
@@ -2,92 +2,9 @@
 
 package toucanrelay.gateway
 
-import com.github.michaelbull.result.fold
-import kotlinx.coroutines.runBlocking
-import org.kohsuke.args4j.Argument
-import org.kohsuke.args4j.CmdLineException
-import org.kohsuke.args4j.CmdLineParser
-import org.kohsuke.args4j.Option
-import sun.misc.Signal
-import toucanrelay.gateway.selftest.SelfTest
-import toucanrelay.gateway.selftest.WarmUp
-import toucanrelay.gateway.settings.GatewaySettings
-import toucanrelay.gateway.settings.SettingsLoader
-import toucanrelay.platform.SettingsLocation
-import java.nio.file.Path
-import kotlin.concurrent.thread
-import kotlin.system.exitProcess
-
-private const val EXIT_OK = 0
-private const val EXIT_FAILED = 1
-private const val EXIT_SETTINGS = 2
-
-/** Command-line options of the gateway. */
-internal class GatewayArguments {
-    @Argument(
-        metaVar = "SETTINGS_FILE",
-        usage = "JSON settings file; default: the file named by \$${SettingsLocation.VARIABLE}",
-    )
-    var settingsFile: String? = null
-
-    @Option(name = "--check-settings", usage = "checks the settings file and exits")
-    var isCheckOnly: Boolean = false
-
-    @Option(
-        name = "--self-test",
-        usage = "serves requests between stand-ins on the loopback interface and exits with 0 on success",
-    )
-    var isSelfTest: Boolean = false
-
-    @Option(name = "--help", help = true, usage = "prints this help")
-    var help: Boolean = false
-}
-
 /** Runs one gateway process until SIGTERM. */
 public fun main(arguments: Array<String>) {
-    val parsed = GatewayArguments()
-    val parser = CmdLineParser(parsed)
-    try {
-        parser.parseArgument(arguments.toList())
-    } catch (invalid: CmdLineException) {
-        exitWith("${invalid.message}; see --help")
-    }
-    if (parsed.help) return printHelp(parser)
-    if (parsed.isSelfTest) return runSelfTest()
-    val file =
-        parsed.settingsFile ?: SettingsLocation.fromEnvironment() ?: exitWith("SETTINGS_FILE is missing; see --help")
-    val settings = loadOrExit(file)
-    if (!parsed.isCheckOnly) serve(settings, Path.of(file))
-}
-
-private fun printHelp(parser: CmdLineParser) {
-    println("usage: toucanrelay-gateway [--check-settings] [SETTINGS_FILE]")
-    parser.printUsage(System.out)
-}
-
-private fun runSelfTest() {
-    val problem = runBlocking { SelfTest().run() }
-    if (problem != null) System.err.println("toucanrelay-gateway: self-test failed: $problem")
-    exitProcess(if (problem == null) EXIT_OK else EXIT_FAILED)
-}
-
-private fun loadOrExit(file: String): GatewaySettings =
-    SettingsLoader.load(Path.of(file)).fold(success = { it }, failure = { exitWith("$file: ${it.detail}") })
-
-private fun exitWith(message: String): Nothing {
-    System.err.println("toucanrelay-gateway: $message")
-    exitProcess(EXIT_SETTINGS)
-}
-
-private fun serve(settings: GatewaySettings, file: Path) {
-    val gateway = Gateway(settings, file)
-    try {
-        runBlocking { gateway.start() }
-    } catch (failure: Exception) {
-        System.err.println("toucanrelay-gateway: cannot start: $failure")
-        exitProcess(EXIT_FAILED)
-    }
-    thread(isDaemon = true, name = "warm-up") { runBlocking { WarmUp.run(gateway) } }
-    Signal.handle(Signal("HUP")) { gateway.reload() }
-    Runtime.getRuntime().addShutdownHook(Thread { runBlocking { gateway.stop() } })
+    // Before anything else is loaded: without a handler, SIGHUP ends the process.
+    val reloadSignal = ReloadSignal.install()
+    GatewayCommand(reloadSignal).run(arguments.toList())
 }
--- a/soak/src/test/kotlin/toucanrelay/soak/GatewayProcess.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/GatewayProcess.kt
@@ -1,11 +1,14 @@
 package toucanrelay.soak
 
-import kotlinx.serialization.json.Json
 import toucanrelay.gateway.settings.GatewaySettings
 import java.io.File
 import java.nio.file.Files
 import java.nio.file.Path
+import java.nio.file.StandardCopyOption
 import java.util.concurrent.TimeUnit
+import kotlin.io.path.deleteIfExists
+import kotlin.io.path.moveTo
+import kotlin.io.path.readText
 import kotlin.io.path.writeText
 
 /** Runs a gateway in its own process and writes a log file for each run. */
@@ -16,18 +19,57 @@
     private val settingsFile = directory.resolve("${settings.instance}.json")
     private lateinit var process: Process
     private var runs = 0
+    private val log
+        get() = directory.resolve("${settings.instance}-$runs.log")
+
+    /** What the present process has written to its standard output and standard error. */
+    val output: String
+        get() = log.readText()
+
+    /** Exit code of the process; null while it runs. */
+    val exitCode: Int?
+        get() = if (process.isAlive) null else process.exitValue()
 
     /** Writes the settings file and starts the process. */
     fun start() {
-        settingsFile.writeText(Json.encodeToString(GatewaySettings.serializer(), settings))
-        val log = directory.resolve("${settings.instance}-${++runs}.log").toFile()
+        replaceSettings(settings)
+        launch()
+    }
+
+    /** Starts the process with a pipe in place of its settings file, so that it waits while it reads its settings. */
+    fun startAtPipe(): SettingsPipe {
+        settingsFile.deleteIfExists()
+        return SettingsPipe(settingsFile).also { launch() }
+    }
+
+    /** Replaces the settings file by one with [changed] settings. */
+    fun replaceSettings(changed: GatewaySettings) {
+        val replacement = directory.resolve("${settings.instance}.json.new")
+        replacement.writeText(changed.toJson())
+        replacement.moveTo(settingsFile, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+    }
+
+    private fun launch() {
+        runs++
         process =
             ProcessBuilder(command())
                 .redirectErrorStream(true)
-                .redirectOutput(log)
+                .redirectOutput(log.toFile())
                 .start()
     }
 
+    /** Sends SIGTERM. */
+    fun requestStop() = signal("TERM")
+
+    /** Sends SIGHUP. */
+    fun hangUp() = signal("HUP")
+
+    /** Returns the exit code of the process, or null if it still runs after [seconds]. */
+    fun awaitExit(seconds: Long): Int? {
+        process.waitFor(seconds, TimeUnit.SECONDS)
+        return exitCode
+    }
+
     /** Sends SIGTERM and waits for the process to exit; kills it after [STOP_TIMEOUT_SECONDS]. */
     fun stop() {
         process.destroy()
@@ -67,7 +109,7 @@
                 "-Dio.netty.machineId=00:00:00:00:00:01",
             )
 
-        /** Creates and returns the directory for the settings and logs of the run with [seed]. */
-        fun directoryOf(seed: Long): Path = Files.createDirectories(File("target/soak/$seed").toPath())
+        /** Creates and returns the directory for the settings and logs of the run [name]. */
+        fun directoryOf(name: String): Path = Files.createDirectories(File("target/soak/$name").toPath())
     }
 }
--- a/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
@@ -13,8 +13,6 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import toucanrelay.core.time.MonotonicClock
-import toucanrelay.gateway.settings.Bounds
-import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.platform.standin.CallerStandIn
 import toucanrelay.platform.standin.ReservedPorts
 import toucanrelay.platform.standin.StoreBehaviour
@@ -22,7 +20,6 @@
 import toucanrelay.standins.CuttableLink
 import toucanrelay.standins.LinkSettings
 
-private const val LOOPBACK = "127.0.0.1"
 private const val VALID_KEY = "key-kept"
 private const val REVOKED_KEY = "key-revoked"
 private const val REVOCATION_MILLISECONDS = 3_000L
@@ -92,10 +89,14 @@
                 CuttableLink(LinkSettings(store.address.port, port = ReservedPorts.take()), vertx)
             }
         targets.start()
-        val directory = GatewayProcess.directoryOf(seed)
+        val directory = GatewayProcess.directoryOf(seed.toString())
         val storePorts = storeLinks.map { it.start() }
         ports = GatewayPorts.free(FaultPlan.GATEWAYS)
-        gateways = storePorts.mapIndexed { index, port -> GatewayProcess(settings(index, port), directory) }
+        gateways =
+            storePorts.mapIndexed { index, port ->
+                val settings = ports[index].settings("gateway-$index", port, REVOCATION_MILLISECONDS)
+                GatewayProcess(settings, directory)
+            }
         gateways.forEach { it.start() }
         check(awaitRecovery().isEmpty()) { "a gateway did not start" }
     }
@@ -299,26 +300,6 @@
             }
         }
 
-    private fun settings(index: Int, storePort: Int) =
-        GatewaySettings(
-            instance = "gateway-$index",
-            failureDomain = "domain",
-            regions = mapOf("domain" to "region"),
-            address = LOOPBACK,
-            callersAddress = "$LOOPBACK:${ports[index].callers}",
-            readinessAddress = "$LOOPBACK:${ports[index].readiness}",
-            memberPorts = ports[index].member.let { listOf(it, it + 2) },
-            storeAddress = "$LOOPBACK:$storePort",
-            bounds =
-                Bounds(
-                    revocationMilliseconds = REVOCATION_MILLISECONDS.toDouble(),
-                    shutdownSeconds = 4.0,
-                    retryRatio = 0.2,
-                    retryReserve = 50.0,
-                    retryWindowSeconds = 10.0,
-                ),
-        )
-
     private companion object {
         const val STATUS_OK = 200
         const val RECOVERY_RETRY_MILLISECONDS = 100L
