Detect a change of the settings file by its content, and read an incomplete one again

What was seen: a settings file that changes without a signal while a process reads it at its start is never taken over; the process works with the older settings for good. A file that is read while it is written ends a start with code 2.

Cause: the settings were read first and the file's time of modification later, when the gateway was constructed; a change between the two looked like the one that had been read. The same holds for two changes within one step of the file's clock. A reload keeps the settings in force if the file is invalid; a start had nothing to keep and ended.

Change: SettingsFile compares the content with what was read last, so there is no second look that can disagree.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -1,5 +1,6 @@
 package toucanrelay.gateway
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.vertx.core.Vertx
@@ -21,13 +22,13 @@
 import toucanrelay.gateway.http.PlainPageServer
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.gateway.settings.GatewaySettings
-import toucanrelay.gateway.settings.SettingsLoader
-import java.nio.file.Path
+import toucanrelay.gateway.settings.SettingsFile
+import toucanrelay.gateway.settings.SettingsProblem
 
 /** One gateway process: starts its components and shuts them down after the active requests have finished. */
 internal class Gateway(
     settings: GatewaySettings,
-    private val settingsFile: Path,
+    private val settingsFile: SettingsFile,
     private val vertx: Vertx = Vertx.vertx(singleEventLoop()),
     log: EventLog = EventLog(MonotonicClock),
     loopLag: LoopLag = LoopLag(MonotonicClock),
@@ -41,7 +42,6 @@
     private val membership = Membership(components, incarnation)
     private val supervisor =
         TaskSupervisor(scope, components.clock, log, onFailure = components.meters::recordTaskFailure)
-    private var settingsModifiedAtMilliseconds = lastModified()
 
     /** Binds all ports and starts to follow the tables of the store. */
     suspend fun start(): Unit =
@@ -67,7 +67,9 @@
             }
             schedulePeriodic("log-fair-shares", FAIR_SHARES_LOG_PERIOD_MILLISECONDS) { components.logFairShares() }
             schedulePeriodic("clean-up", POOL_CLEANUP_PERIOD_MILLISECONDS) { components.cleanUp() }
-            schedulePeriodic("check-settings", SETTINGS_CHECK_PERIOD_MILLISECONDS) { reloadIfChanged() }
+            schedulePeriodic("check-settings", SETTINGS_CHECK_PERIOD_MILLISECONDS) {
+                settingsFile.readIfChanged()?.let { apply(it) }
+            }
             schedulePeriodic("close-idle", IDLE_CHECK_PERIOD_MILLISECONDS) { components.server.closeTimedOut() }
         }
 
@@ -96,13 +98,12 @@
 
     /** Reloads the settings file; invalid settings are logged and the previous ones remain in force. */
     fun reload() {
-        val guarded = supervisor.guarded("reload") { readSettings() }
+        val guarded = supervisor.guarded("reload") { apply(settingsFile.read()) }
         vertx.runOnContext { guarded() }
     }
 
-    private fun readSettings() {
-        SettingsLoader
-            .load(settingsFile)
+    private fun apply(read: Result<GatewaySettings, SettingsProblem>) {
+        read
             .onSuccess { loaded ->
                 components.settings = loaded
                 loaded.releasedSuspects.mapNotNull { Suspect.parse(it) }.forEach { components.quarantine.release(it) }
@@ -110,16 +111,6 @@
             }.onFailure { components.log.write("reload-failed", "detail" to it.detail) }
     }
 
-    /** Reloads the settings file if it has changed, so that no signal is needed. */
-    private fun reloadIfChanged() {
-        val modifiedAt = lastModified()
-        if (modifiedAt == settingsModifiedAtMilliseconds) return
-        settingsModifiedAtMilliseconds = modifiedAt
-        readSettings()
-    }
-
-    private fun lastModified(): Long = settingsFile.toFile().lastModified()
-
     /** Finishes the active requests within the shutdown time of the settings, then closes the callers' port. */
     suspend fun stop(): Unit =
         withContext(dispatcher) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayCommand.kt
@@ -1,5 +1,6 @@
 package toucanrelay.gateway
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.runBlocking
 import org.kohsuke.args4j.Argument
@@ -9,7 +10,8 @@
 import toucanrelay.gateway.selftest.SelfTest
 import toucanrelay.gateway.selftest.WarmUp
 import toucanrelay.gateway.settings.GatewaySettings
-import toucanrelay.gateway.settings.SettingsLoader
+import toucanrelay.gateway.settings.SettingsFile
+import toucanrelay.gateway.settings.SettingsProblem
 import toucanrelay.platform.SettingsLocation
 import java.nio.file.Path
 import kotlin.concurrent.thread
@@ -59,8 +61,12 @@
             parsed.settingsFile ?: SettingsLocation.fromEnvironment() ?: exitWith(
                 "SETTINGS_FILE is missing; see --help",
             )
-        val settings = loadOrExit(file)
-        if (!parsed.isCheckOnly) serve(settings, Path.of(file))
+        val settingsFile = SettingsFile(Path.of(file))
+        if (parsed.isCheckOnly) {
+            settingsFile.read().orExit(file)
+        } else {
+            serve(settingsFile.awaitValid().orExit(file), settingsFile)
+        }
     }
 
     private fun printHelp(parser: CmdLineParser) {
@@ -74,15 +80,15 @@
         exitProcess(if (problem == null) EXIT_OK else EXIT_FAILED)
     }
 
-    private fun loadOrExit(file: String): GatewaySettings =
-        SettingsLoader.load(Path.of(file)).fold(success = { it }, failure = { exitWith("$file: ${it.detail}") })
+    private fun Result<GatewaySettings, SettingsProblem>.orExit(file: String): GatewaySettings =
+        fold(success = { it }, failure = { exitWith("$file: ${it.detail}") })
 
     private fun exitWith(message: String): Nothing {
         System.err.println("toucanrelay-gateway: $message")
         exitProcess(EXIT_SETTINGS)
     }
 
-    private fun serve(settings: GatewaySettings, file: Path) {
+    private fun serve(settings: GatewaySettings, file: SettingsFile) {
         val gateway = Gateway(settings, file)
         reloadSignal.deliverTo(gateway::reload)
         try {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
@@ -10,6 +10,7 @@
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.gateway.settings.Bounds
 import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.settings.SettingsFile
 import toucanrelay.platform.standin.CallerStandIn
 import toucanrelay.platform.standin.StoreStandIn
 import toucanrelay.platform.standin.TargetScript
@@ -63,7 +64,8 @@
         store.putConfiguration(configuration())
         store.putRegistration(target.id, target.registration("service", "domain"))
         val port = freePort()
-        val started = Gateway(settings(port), Path.of(""), log = EventLog(MonotonicClock, isWritten = false))
+        val started =
+            Gateway(settings(port), SettingsFile(Path.of("")), log = EventLog(MonotonicClock, isWritten = false))
         gateway = started
         started.start()
         repeat(rounds) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/settings/SettingsLoader.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/settings/SettingsLoader.kt
@@ -25,9 +25,12 @@
     private val json = Json { ignoreUnknownKeys = true }
 
     /** Loads the settings from [file]. */
-    public fun load(file: Path): Result<GatewaySettings, SettingsProblem> =
+    public fun load(file: Path): Result<GatewaySettings, SettingsProblem> = readText(file).andThen { parse(it) }
+
+    /** Reads the text of [file]. */
+    internal fun readText(file: Path): Result<String, SettingsProblem> =
         try {
-            parse(file.readText())
+            Ok(file.readText())
         } catch (unreadable: IOException) {
             Err(SettingsProblem("cannot be read (${unreadable.javaClass.simpleName})"))
         }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayInstance.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayInstance.kt
@@ -9,6 +9,7 @@
 import toucanrelay.core.time.MonotonicClock
 import toucanrelay.gateway.settings.Bounds
 import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.settings.SettingsFile
 import toucanrelay.platform.standin.ReservedPorts
 import java.nio.file.Path
 
@@ -49,7 +50,7 @@
         val limit = if (isOverloaded) 0.0 else Double.POSITIVE_INFINITY
         val loopLag = LoopLag(lagClock, overloadThresholdMilliseconds = limit)
         val settings = settings(storeAddress, revocationMilliseconds)
-        gateway = Gateway(settings, settingsFile, vertx, loopLag = loopLag)
+        gateway = Gateway(settings, SettingsFile(settingsFile), vertx, loopLag = loopLag)
         gateway.recordWarm()
         gateway.start()
     }
--- a/soak/src/test/kotlin/toucanrelay/soak/ProcessStartTest.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/ProcessStartTest.kt
@@ -33,4 +33,23 @@
                 fixture.awaitReady { fixture.process.hangUp() }
             }
         }
+
+        // Guards against a change that is never seen, since it falls between two looks at the file.
+        describe("a settings file that changes while a process starts, without a signal") {
+            it("is taken over if it was replaced while the process read the older one") {
+                val pipe = fixture.process.startAtPipe()
+                pipe.awaitReader()
+                fixture.process.replaceSettings(fixture.settings)
+                pipe.complete(fixture.unusableSettings.toJson())
+                fixture.awaitReady()
+            }
+
+            it("is read again if it was not written completely") {
+                val pipe = fixture.process.startAtPipe()
+                pipe.awaitReader()
+                fixture.process.replaceSettings(fixture.settings)
+                pipe.complete("")
+                fixture.awaitReady()
+            }
+        }
     })
