Stop a process that is starting as one that serves

What was seen: callers that a starting process had accepted got a reset connection if SIGTERM came before the start was complete.

Cause: the shutdown hook was added last, after the callers' port was open; adding it in a process that is ending throws. The warm-up began in a process that was stopping, its failures were caught nowhere, and it chose ports one by one although it needs three in a row, so that a connection could hold one of them.

Change: the hook is added before anything is opened. A process that has had no callers and was never ready takes 0.3 s to read what was sent to it, instead of the time that a balancer needs to notice.

Evidence: ProcessStartTest sends SIGTERM, five SIGHUP and a second SIGTERM while the settings are read, the ports are opened, a first caller is connected, and when ready.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -85,6 +85,10 @@
     val hasStartedUp: Boolean
         get() = startUp.isComplete
 
+    /** Whether [stop] has been called. */
+    val isStopping: Boolean
+        get() = components.shutdown.hasBegun
+
     /** Records that the warm-up of this process is complete. */
     fun recordWarm() {
         startUp.recordWarm()
@@ -132,7 +136,9 @@
     /** Refuses new requests once too little time is left, and returns whether the callers' port can be closed. */
     private fun canClose(elapsed: Long, limit: Long): Boolean {
         components.exchangeHandler.isRefusingNew = elapsed >= minOf(REFUSE_NEW_AFTER_MILLISECONDS, limit / 2)
-        val isIdle = components.server.active == 0 && elapsed >= BALANCER_REMOVAL_MILLISECONDS
+        val isBalanced = startUp.isComplete || components.server.hasBeenCalled
+        val removal = if (isBalanced) BALANCER_REMOVAL_MILLISECONDS else ACCEPTED_READ_MILLISECONDS
+        val isIdle = components.server.active == 0 && elapsed >= removal
         return isIdle || elapsed >= limit - KILL_MARGIN_MILLISECONDS
     }
 
@@ -178,6 +184,9 @@
 
         /** The load balancer probes readiness once per second and removes a process after two failed probes. */
         private const val BALANCER_REMOVAL_MILLISECONDS = 2_600L
+
+        /** Time in which the event loop reads what callers sent that were accepted before the process was ready. */
+        private const val ACCEPTED_READ_MILLISECONDS = 300L
         private const val KILL_MARGIN_MILLISECONDS = 400L
 
         /** Leaves time for the log within the margin. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayCommand.kt
@@ -90,17 +90,28 @@
 
     private fun serve(settings: GatewaySettings, file: SettingsFile) {
         val gateway = Gateway(settings, file)
+        if (!stopAtExit(gateway)) return
         reloadSignal.deliverTo(gateway::reload)
         try {
             runBlocking { gateway.start() }
         } catch (failure: Exception) {
+            // A stop closes what a start still opens.
+            if (gateway.isStopping) return
             System.err.println("toucanrelay-gateway: cannot start: $failure")
             exitProcess(EXIT_FAILED)
         }
         thread(isDaemon = true, name = "warm-up") { runBlocking { WarmUp.run(gateway) } }
-        Runtime.getRuntime().addShutdownHook(Thread { runBlocking { gateway.stop() } })
     }
 
+    /** Lets SIGTERM stop [gateway], also while it starts; returns false if the process is already ending. */
+    private fun stopAtExit(gateway: Gateway): Boolean =
+        try {
+            Runtime.getRuntime().addShutdownHook(Thread { runBlocking { gateway.stop() } })
+            true
+        } catch (_: IllegalStateException) {
+            false
+        }
+
     private companion object {
         const val EXIT_OK = 0
         const val EXIT_FAILED = 1
--- a/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/selftest/SelfTest.kt
@@ -12,11 +12,11 @@
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.settings.SettingsFile
 import toucanrelay.platform.standin.CallerStandIn
+import toucanrelay.platform.standin.PortBlock
 import toucanrelay.platform.standin.StoreStandIn
 import toucanrelay.platform.standin.TargetScript
 import toucanrelay.platform.standin.TargetStandIn
 import toucanrelay.platform.standin.configurationDocument
-import java.net.ServerSocket
 import java.nio.file.Path
 import java.util.UUID
 
@@ -33,6 +33,7 @@
     private val rounds: Int = ROUNDS,
     private val shouldContinue: suspend () -> Boolean = { true },
 ) {
+    private val ports = PortBlock()
     private val vertx = Vertx.vertx()
     private val caller = CallerStandIn(vertx.createHttpClient())
     private var gateway: Gateway? = null
@@ -48,6 +49,7 @@
         } finally {
             gateway?.close()
             vertx.close().coAwait()
+            ports.close()
         }
 
     private suspend fun serveAll(): String? {
@@ -63,7 +65,7 @@
             }
         store.putConfiguration(configuration())
         store.putRegistration(target.id, target.registration("service", "domain"))
-        val port = freePort()
+        val port = ports.take()
         val started =
             Gateway(settings(port), SettingsFile(Path.of("")), log = EventLog(MonotonicClock, isWritten = false))
         gateway = started
@@ -106,8 +108,8 @@
             regions = mapOf("domain" to "region"),
             address = LOOPBACK,
             callersAddress = "$LOOPBACK:$port",
-            readinessAddress = "$LOOPBACK:${freePort()}",
-            memberPorts = listOf(freePort(), LAST_PORT),
+            readinessAddress = "$LOOPBACK:${ports.take()}",
+            memberPorts = ports.take(MEMBER_PORTS).let { listOf(it, it + MEMBER_PORTS - 1) },
             storeAddress = store.address.toString(),
             bounds =
                 Bounds(
@@ -119,8 +121,6 @@
                 ),
         )
 
-    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
-
     private companion object {
         const val LOOPBACK = "127.0.0.1"
         const val CALLS = "/calls/"
@@ -132,6 +132,6 @@
         const val ATTEMPTS = 50
         const val RETRY_DELAY_MILLISECONDS = 100L
         const val ENGINE_MEMORY_TOKENS = 100_000L
-        const val LAST_PORT = 65_535
+        const val MEMBER_PORTS = 3
     }
 }
--- a/soak/src/test/kotlin/toucanrelay/soak/ProcessStartTest.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/ProcessStartTest.kt
@@ -1,6 +1,18 @@
 package toucanrelay.soak
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldNotContain
+import io.kotest.matchers.string.shouldStartWith
+
+/** Exit code of a process that could not start. */
+private const val EXIT_FAILED = 1
+
+/** Exit code of a process that SIGTERM has ended. */
+private const val EXIT_TERMINATED = 143
+
+private const val HANG_UPS_DURING_STOP = 5
 
 class ProcessStartTest :
     DescribeSpec({
@@ -52,4 +64,53 @@
                 fixture.awaitReady()
             }
         }
+
+        describe("a process that cannot open a port") {
+            it("ends in time and says why") {
+                fixture.withReadinessPortInUse {
+                    fixture.process.start()
+                    fixture.process.awaitExit(GatewayPorts.SHUTDOWN_SECONDS) shouldBe EXIT_FAILED
+                }
+                fixture.process.output shouldContain "cannot start: "
+            }
+        }
+
+        // Guards against a process that ends with an error, or too late, if it is stopped before it has started.
+        describe("a process that gets SIGTERM while it starts") {
+            suspend fun shouldEndInTime() {
+                fixture.process.requestStop()
+                repeat(HANG_UPS_DURING_STOP) { fixture.process.hangUp() }
+                fixture.process.requestStop()
+                fixture.process.awaitExit(GatewayPorts.SHUTDOWN_SECONDS) shouldBe EXIT_TERMINATED
+                fixture.process.output shouldNotContain "Exception"
+                fixture.process.output shouldNotContain "cannot start"
+            }
+
+            it("ends in time while it reads its settings") {
+                val pipe = fixture.process.startAtPipe()
+                pipe.awaitReader()
+                shouldEndInTime()
+            }
+
+            it("ends in time while it opens its ports") {
+                fixture.process.start()
+                fixture.awaitStartLine()
+                shouldEndInTime()
+            }
+
+            it("answers a caller whose connection it has accepted, and ends in time") {
+                fixture.process.start()
+                fixture.awaitCaller().use { caller ->
+                    caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: $LOOPBACK\r\n\r\n".encodeToByteArray())
+                    shouldEndInTime()
+                    caller.getInputStream().bufferedReader().readLine() shouldStartWith "HTTP/1.1 "
+                }
+            }
+
+            it("ends in time once it is ready") {
+                fixture.process.start()
+                fixture.awaitReady()
+                shouldEndInTime()
+            }
+        }
     })
