Take over regions and retry bounds with a reload, and name what needs a restart

What was seen: a reload is reported, and the regions of failure domains and the bounds of retries stay as they were at the start. Requests that may go to a region only now get 503, and a bound that operators have raised or lowered has no effect.

Cause: in an initializer, the name of a constructor's property means its parameter, so the functions that GatewayComponents handed on read the settings of the start; RetryBudgets kept the first bounds of each service beside that, and Placer the first settings.

Change: member functions read the settings in force; a retry budget takes over new limits and keeps counting. Identity, ports, own region, the store's address and the number of descriptors stay until a restart, and the line of the reload names those that differ.

--- a/core/src/main/kotlin/toucanrelay/core/retry/FleetRetryBudget.kt
+++ b/core/src/main/kotlin/toucanrelay/core/retry/FleetRetryBudget.kt
@@ -24,11 +24,19 @@
  */
 public class FleetRetryBudget(
     clock: Clock,
-    private val settings: RetryBudgetSettings,
+    settings: RetryBudgetSettings,
 ) {
     private val requests = SlidingWindowCounter(clock, settings.windowMilliseconds)
     private val retries = SlidingWindowCounter(clock, settings.windowMilliseconds)
 
+    /** The limits in force; requests and retries from before a change still count. */
+    public var settings: RetryBudgetSettings = settings
+        set(value) {
+            field = value
+            requests.windowMilliseconds = value.windowMilliseconds
+            retries.windowMilliseconds = value.windowMilliseconds
+        }
+
     /** Records a request from a caller. */
     public fun recordRequest() {
         requests.add()
--- a/core/src/main/kotlin/toucanrelay/core/statistics/SlidingWindowCounter.kt
+++ b/core/src/main/kotlin/toucanrelay/core/statistics/SlidingWindowCounter.kt
@@ -2,10 +2,14 @@
 
 import toucanrelay.core.time.Clock
 
-/** Counts the events of the last [windowMilliseconds] exactly. */
+/**
+ * Counts the events of the last [windowMilliseconds] exactly.
+ *
+ * @property windowMilliseconds length of the window; when it grows, events that were already outside stay uncounted.
+ */
 public class SlidingWindowCounter(
     private val clock: Clock,
-    private val windowMilliseconds: Long,
+    public var windowMilliseconds: Long,
 ) {
     private val timesMilliseconds = ArrayDeque<Long>()
 
--- a/core/src/test/kotlin/toucanrelay/core/retry/FleetRetryBudgetTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/retry/FleetRetryBudgetTest.kt
@@ -48,5 +48,22 @@
                 clock.advance(BUDGET.windowMilliseconds)
                 budget.tryAcquire(1) shouldBe true
             }
+
+            it("count against limits that change meanwhile") {
+                val budget = FleetRetryBudget(ManualClock(), BUDGET.copy(ratio = 0.0, reserve = 2.0))
+                budget.tryAcquire(1) shouldBe true
+                budget.settings = BUDGET.copy(ratio = 0.0, reserve = 3.0)
+                budget.tryAcquire(1) shouldBe true
+                budget.tryAcquire(1) shouldBe false
+            }
+
+            it("count in a window that has become longer") {
+                val clock = ManualClock()
+                val budget = FleetRetryBudget(clock, BUDGET.copy(ratio = 0.0, reserve = 2.0))
+                budget.tryAcquire(1) shouldBe true
+                budget.settings = budget.settings.copy(windowMilliseconds = 2 * BUDGET.windowMilliseconds)
+                clock.advance(BUDGET.windowMilliseconds)
+                budget.tryAcquire(1) shouldBe false
+            }
         }
     })
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -22,8 +22,10 @@
 import toucanrelay.gateway.http.PlainPageServer
 import toucanrelay.gateway.log.EventLog
 import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.settings.ReloadedSettings
 import toucanrelay.gateway.settings.SettingsFile
 import toucanrelay.gateway.settings.SettingsProblem
+import toucanrelay.gateway.settings.reloadedWith
 
 /** One gateway process: starts its components and shuts them down after the active requests have finished. */
 internal class Gateway(
@@ -109,12 +111,21 @@
     private fun apply(read: Result<GatewaySettings, SettingsProblem>) {
         read
             .onSuccess { loaded ->
-                components.settings = loaded
+                val reloaded = components.settings.reloadedWith(loaded)
+                components.settings = reloaded.inForce
                 loaded.releasedSuspects.mapNotNull { Suspect.parse(it) }.forEach { components.quarantine.release(it) }
-                components.log.write("reload", "instance" to loaded.instance)
+                logReload(reloaded)
             }.onFailure { components.log.write("reload-failed", "detail" to it.detail) }
     }
 
+    private fun logReload(reloaded: ReloadedSettings) {
+        components.log.write(
+            "reload",
+            "instance" to reloaded.inForce.instance,
+            "needsRestart" to reloaded.needsRestart.joinToString(" ").ifEmpty { null },
+        )
+    }
+
     /** Finishes the active requests within the shutdown time of the settings, then closes the callers' port. */
     suspend fun stop(): Unit =
         withContext(dispatcher) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -6,6 +6,7 @@
 import toucanrelay.core.backoff.TargetBackoffs
 import toucanrelay.core.configuration.ConfigurationRegister
 import toucanrelay.core.identity.FailureDomainId
+import toucanrelay.core.identity.RegionId
 import toucanrelay.core.overload.OrganisationUsage
 import toucanrelay.core.overload.OverloadWithdrawal
 import toucanrelay.core.quarantine.CrashQuarantine
@@ -45,6 +46,7 @@
 import toucanrelay.gateway.log.TargetStatementLog
 import toucanrelay.gateway.member.FleetView
 import toucanrelay.gateway.member.RecentPromptReads
+import toucanrelay.gateway.settings.Bounds
 import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.gateway.target.TargetPool
 import toucanrelay.platform.StoreClient
@@ -68,7 +70,7 @@
     private val loopTurn = LoopTurn(vertx)
     private val turns = TurnQueue(loopTurn::runAfter)
     val pool = TargetPool(vertx, clock, targets, turns)
-    val fleet = FleetView(settings.instanceId, settings.region, clock) { settings.regionOf(it) }
+    val fleet = FleetView(settings.instanceId, settings.region, clock, ::regionOf)
     val recentReads = RecentPromptReads()
     val organisationUsage = OrganisationUsage(clock)
     val quarantine = CrashQuarantine(clock, ::logCondition)
@@ -86,7 +88,7 @@
     val shutdown = Shutdown(clock)
     private val routeDurations = RouteDurations(clock)
     private val allowances = TargetAllowances(settings.instanceId, clock, fleet, serviceDemand, statedLimits, backoffs)
-    private val placer = Placer(settings, clock, pool, allowances, fairShares, recentReads, quarantine)
+    private val placer = Placer(settings, ::regionOf, clock, pool, allowances, fairShares, recentReads, quarantine)
     private val outputEstimates = OutputEstimates()
     private val intake = RequestIntake(clock, configurations, outputEstimates, ::maxAgeMilliseconds)
 
@@ -130,7 +132,7 @@
             shutdown = shutdown,
             routeDurations = routeDurations,
             outputEstimates = outputEstimates,
-            retryBudgets = RetryBudgets(clock, { settings.bounds }, fleet),
+            retryBudgets = RetryBudgets(clock, ::bounds, fleet),
             silenceDetector = silenceDetector,
             quarantine = quarantine,
             crashDetector = CrashDetector(scope, targets, quarantine, log),
@@ -184,6 +186,11 @@
         if (withdrawal.isWithdrawn && !wasWithdrawn) log.write("withdrawn", "loopLagMs" to loopLag.milliseconds)
     }
 
+    // Functions, since in an initializer `settings` is the constructor's parameter, which a reload does not change.
+    private fun regionOf(failureDomain: FailureDomainId): RegionId? = settings.regionOf(failureDomain)
+
+    private fun bounds(): Bounds = settings.bounds
+
     private fun logCondition(suspect: Suspect, condition: SuspectCondition) {
         log.write("crash-suspect", "suspect" to suspect, "condition" to condition.name.lowercase())
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -2,6 +2,7 @@
 
 import toucanrelay.core.configuration.ServiceSettings
 import toucanrelay.core.identity.FailureDomainId
+import toucanrelay.core.identity.RegionId
 import toucanrelay.core.identity.TargetId
 import toucanrelay.core.overload.AdmissionLatencyLimit
 import toucanrelay.core.overload.RequestHistory
@@ -45,9 +46,15 @@
     data object NoTarget : PlacementResult
 }
 
-/** Chooses a target for a request and reserves capacity on it. */
+/**
+ * Chooses a target for a request and reserves capacity on it.
+ *
+ * @param settings the settings of the process at its start.
+ * @param regionOf returns the region of a failure domain by the settings in force.
+ */
 internal class Placer(
-    private val settings: GatewaySettings,
+    settings: GatewaySettings,
+    private val regionOf: (FailureDomainId) -> RegionId?,
     private val clock: Clock,
     private val pool: TargetPool,
     private val allowances: TargetAllowances,
@@ -56,6 +63,7 @@
     private val quarantine: CrashQuarantine,
 ) {
     private val ownDomain = FailureDomainId(settings.failureDomain)
+    private val ownRegion = settings.region
     private val speeds = HashMap<String, EngineSpeed>()
 
     /** Places [request] on a target that is not in [excluded]; [onRelease] runs when that target frees capacity. */
@@ -239,12 +247,12 @@
         return placement.unreadTokens + resident / REQUESTS_PER_RESIDENT_PART + prompt.expectedOutputTokens
     }
 
-    private fun regionOf(serving: ServingTarget) = settings.regionOf(serving.registered.registration.failureDomain)
+    private fun regionOf(serving: ServingTarget) = regionOf(serving.registered.registration.failureDomain)
 
     private fun distanceTo(serving: ServingTarget): Distance =
         when {
             serving.registered.registration.failureDomain == ownDomain -> Distance.SAME_FAILURE_DOMAIN
-            regionOf(serving) == settings.region -> Distance.SAME_REGION
+            regionOf(serving) == ownRegion -> Distance.SAME_REGION
             else -> Distance.OTHER_REGION
         }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RetryBudgets.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RetryBudgets.kt
@@ -18,9 +18,11 @@
     val fleetSize: Int
         get() = fleet.size
 
-    /** Returns the retry budget of [service]. */
-    fun forService(service: String): FleetRetryBudget =
-        budgets.getOrPut(service) { FleetRetryBudget(clock, settings()) }
+    /** Returns the retry budget of [service], with the bounds that are in force. */
+    fun forService(service: String): FleetRetryBudget {
+        val settings = settings()
+        return budgets.getOrPut(service) { FleetRetryBudget(clock, settings) }.also { it.settings = settings }
+    }
 
     private fun settings(): RetryBudgetSettings {
         val bounds = bounds()
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -15,6 +15,7 @@
 import toucanrelay.core.time.Clock
 import toucanrelay.core.time.MonotonicClock
 import toucanrelay.gateway.http.RawCaller
+import toucanrelay.gateway.settings.GatewaySettings
 import toucanrelay.platform.standin.CallerStandIn
 import toucanrelay.platform.standin.ReceivedResponse
 import toucanrelay.platform.standin.StoreStandIn
@@ -129,8 +130,11 @@
         withTimeout(TIMEOUT_MILLISECONDS) { while (!condition()) delay(20) }
     }
 
-    fun settingsText(revocationMilliseconds: Double): String =
-        Json.encodeToString(instance.settings(store.address.toString(), revocationMilliseconds))
+    /** Returns the gateway's settings after [change] as the text of a settings file. */
+    fun settingsText(
+        revocationMilliseconds: Double = 5_000.0,
+        change: (GatewaySettings) -> GatewaySettings = { it },
+    ): String = Json.encodeToString(change(instance.settings(store.address.toString(), revocationMilliseconds)))
 
     fun receivedCount() = targets.sumOf { it.receivedRequests.size }
 }
