Let a daemon go on when it gets SIGHUP

Its settings are read at the start only, so it writes a line that says so. toucanctl is a command of a moment and keeps the default. bin/quickstart ends its daemons when its terminal closes, which SIGHUP did before.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/Main.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/Main.kt
@@ -9,6 +9,7 @@
 import org.kohsuke.args4j.CmdLineParser
 import org.kohsuke.args4j.Option
 import org.tinylog.kotlin.Logger
+import sun.misc.Signal
 import toucanrelay.daemon.settings.DaemonSettings
 import toucanrelay.daemon.settings.SettingsError
 import toucanrelay.daemon.settings.SettingsLoader
@@ -35,6 +36,8 @@
 
 /** Runs one daemon until the process receives SIGTERM. */
 public fun main(arguments: Array<String>) {
+    // Before anything else is loaded: without a handler, SIGHUP ends the process.
+    Signal.handle(Signal("HUP")) { Logger.warn { "daemon: SIGHUP has no effect; restart to apply changed settings" } }
     val parsed = DaemonArguments()
     val parser = CmdLineParser(parsed)
     try {
