Change gateways' settings in the soak, with and without SIGHUP, also while they start

The soak sent signals only to processes that were ready. Series of changes of the settings now overlap with faults, stops, starts and each other. SIGHUP comes once the process has written its first line: before its first instruction the Java runtime ends it, which no code here can change.

--- a/soak/src/test/kotlin/toucanrelay/soak/GatewayProcess.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/GatewayProcess.kt
@@ -1,5 +1,6 @@
 package toucanrelay.soak
 
+import kotlinx.coroutines.delay
 import toucanrelay.gateway.settings.GatewaySettings
 import java.io.File
 import java.nio.file.Files
@@ -17,6 +18,7 @@
     private val directory: Path,
 ) {
     private val settingsFile = directory.resolve("${settings.instance}.json")
+    private val fileLock = Any()
     private lateinit var process: Process
     private var runs = 0
     private val log
@@ -43,11 +45,24 @@
     }
 
     /** Replaces the settings file by one with [changed] settings. */
-    fun replaceSettings(changed: GatewaySettings) {
-        val replacement = directory.resolve("${settings.instance}.json.new")
-        replacement.writeText(changed.toJson())
-        replacement.moveTo(settingsFile, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
-    }
+    fun replaceSettings(changed: GatewaySettings) =
+        synchronized(fileLock) {
+            val replacement = directory.resolve("${settings.instance}.json.new")
+            replacement.writeText(changed.toJson())
+            replacement.moveTo(settingsFile, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+        }
+
+    /** Changes the settings [changes] times, and sends SIGHUP each time if [isSignalled] and the process can handle it. */
+    suspend fun changeSettings(changes: Int, isSignalled: Boolean) =
+        repeat(changes) { change ->
+            val bounds = settings.bounds.copy(retryReserve = settings.bounds.retryReserve + change)
+            replaceSettings(settings.copy(bounds = bounds))
+            if (isSignalled && hasBegunToStart()) hangUp()
+            delay(ReloadPlan.GAP_MILLISECONDS)
+        }
+
+    /** The Java runtime ends a process that gets SIGHUP before its first instruction. */
+    private fun hasBegunToStart() = exitCode == null && output.isNotEmpty()
 
     private fun launch() {
         runs++
--- a/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
+++ b/soak/src/test/kotlin/toucanrelay/soak/SoakRun.kt
@@ -143,6 +143,12 @@
                     targets.refuse(planned)
                 }
             }
+            ReloadPlan(seed).series.forEach { planned ->
+                launch(Dispatchers.IO) {
+                    delay(planned.startMilliseconds)
+                    gateways[planned.gateway].changeSettings(planned.changes, planned.isSignalled)
+                }
+            }
             plan.changes.forEach { planned ->
                 launch {
                     delay(planned.startMilliseconds)
@@ -158,10 +164,12 @@
         when (fault.kind) {
             FaultKind.KILL_GATEWAY -> {
                 disturb(fault) { restart(gateway) { gateway.kill() } }
+                gateway.changeSettings(ReloadPlan.CHANGES_DURING_START, isSignalled = true)
             }
 
             FaultKind.STOP_GATEWAY -> {
                 disturb(fault) { restart(gateway) { gateway.stop() } }
+                gateway.changeSettings(ReloadPlan.CHANGES_DURING_START, isSignalled = true)
             }
 
             FaultKind.PAUSE_GATEWAY -> {
