--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -147,6 +147,7 @@
     /** Refuses new requests once too little time is left, and returns whether the callers' port can be closed. */
     private fun canClose(elapsed: Long, limit: Long): Boolean {
         components.exchangeHandler.isRefusingNew = elapsed >= minOf(REFUSE_NEW_AFTER_MILLISECONDS, limit / 2)
+        // The load balancer sends no callers before the process has been ready.
         val isBalanced = startUp.isComplete || components.server.hasBeenCalled
         val removal = if (isBalanced) BALANCER_REMOVAL_MILLISECONDS else ACCEPTED_READ_MILLISECONDS
         val isIdle = components.server.active == 0 && elapsed >= removal
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayCommand.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayCommand.kt
@@ -3,10 +3,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.runBlocking
-import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
-import org.kohsuke.args4j.Option
 import toucanrelay.gateway.selftest.SelfTest
 import toucanrelay.gateway.selftest.WarmUp
 import toucanrelay.gateway.settings.GatewaySettings
@@ -17,27 +15,6 @@
 import kotlin.concurrent.thread
 import kotlin.system.exitProcess
 
-/** Command-line options of the gateway. */
-internal class GatewayArguments {
-    @Argument(
-        metaVar = "SETTINGS_FILE",
-        usage = "JSON settings file; default: the file named by \$${SettingsLocation.VARIABLE}",
-    )
-    var settingsFile: String? = null
-
-    @Option(name = "--check-settings", usage = "checks the settings file and exits")
-    var isCheckOnly: Boolean = false
-
-    @Option(
-        name = "--self-test",
-        usage = "serves requests between stand-ins on the loopback interface and exits with 0 on success",
-    )
-    var isSelfTest: Boolean = false
-
-    @Option(name = "--help", help = true, usage = "prints this help")
-    var help: Boolean = false
-}
-
 /**
  * The command line of the gateway.
  *
@@ -57,10 +34,8 @@
         }
         if (parsed.help) return printHelp(parser)
         if (parsed.isSelfTest) return runSelfTest()
-        val file =
-            parsed.settingsFile ?: SettingsLocation.fromEnvironment() ?: exitWith(
-                "SETTINGS_FILE is missing; see --help",
-            )
+        val file = parsed.settingsFile ?: SettingsLocation.fromEnvironment()
+        if (file == null) exitWith("SETTINGS_FILE is missing; see --help")
         val settingsFile = SettingsFile(Path.of(file))
         if (parsed.isCheckOnly) {
             settingsFile.read().orExit(file)
