Log which software version each target has, and which stream a request takes up

The logs could not tell the hypotheses on streams of two versions apart: they named the target of an attempt, not its version, and nothing of `Resumes`. No decision depends on them yet.

--- a/core/src/main/kotlin/toucanrelay/core/identity/Identifiers.kt
+++ b/core/src/main/kotlin/toucanrelay/core/identity/Identifiers.kt
@@ -68,6 +68,19 @@
     override fun toString(): String = value.toString()
 }
 
+/** Version of the software that a target runs; versions have no order. */
+@JvmInline
+public value class SoftwareVersion(
+    public val value: String,
+) {
+    override fun toString(): String = value
+
+    public companion object {
+        /** Version of the targets that report none, which are taken to run the same software. */
+        public val UNREPORTED: SoftwareVersion = SoftwareVersion("")
+    }
+}
+
 /** Identifies one run of the process on one instance. */
 public data class ProcessRun(
     public val instance: InstanceId,
--- a/core/src/main/kotlin/toucanrelay/core/target/TargetRegistration.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetRegistration.kt
@@ -2,6 +2,7 @@
 
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.Incarnation
+import toucanrelay.core.identity.SoftwareVersion
 import toucanrelay.core.identity.TargetId
 
 /** Network address of a target. */
@@ -16,6 +17,7 @@
  * The registration published by a target.
  *
  * @property incarnation number of the target's run, higher after each start; zero if the target does not report it.
+ * @property version version of the software that the run consists of.
  * @property isLeaving whether the target is about to stop and accepts no new requests.
  * @property coldMilliseconds remaining cold start time at the time of registration.
  */
@@ -25,6 +27,7 @@
     public val address: TargetAddress,
     public val failureDomain: FailureDomainId,
     public val incarnation: Incarnation,
+    public val version: SoftwareVersion = SoftwareVersion.UNREPORTED,
     public val slots: Int,
     public val isLeaving: Boolean,
     public val coldMilliseconds: Long,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestProgress.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestProgress.kt
@@ -1,5 +1,6 @@
 package toucanrelay.gateway.dispatch
 
+import toucanrelay.core.identity.SoftwareVersion
 import toucanrelay.core.identity.TargetId
 
 /** Progress of a request, for retry decisions and for the log. */
@@ -27,6 +28,9 @@
     /** The target of the last attempt. */
     var target: TargetId? = null
 
+    /** The version of the software of [target]. */
+    var targetVersion: SoftwareVersion? = null
+
     /** Clock reading when the request was first placed on a target; null before. */
     var placedAtMilliseconds: Long? = null
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -117,6 +117,7 @@
 
     private fun recordPlacement(reservation: Reservation) {
         progress.target = reservation.target.id
+        progress.targetVersion = reservation.registered.registration.version
         progress.tried += reservation.target.id
         progress.placedAtMilliseconds = progress.placedAtMilliseconds ?: dependencies.clock.nowMilliseconds()
         progress.expectedMilliseconds = reservation.placement.expectedMilliseconds.toLong()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
@@ -57,6 +57,7 @@
             if (registration.isLeaving) "target-leaving" else "target-registered",
             "target" to registration.id,
             "service" to registration.service,
+            "version" to registration.version,
             "failureDomain" to registration.failureDomain,
             "incarnation" to registration.incarnation,
             "coldMs" to registration.coldMilliseconds,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
@@ -20,6 +20,7 @@
  * @property service the service of [route] that was chosen for the request.
  * @property prompt null unless [service] has model engines and the request describes its prompt.
  * @property lastEventId last event that the caller has received of the stream that it resumes; null for a new stream.
+ * @property resumes id of the request whose answer brought the first event of the stream that is resumed; null if unknown.
  * @property arrivedAtMilliseconds when the request arrived, estimated if the event loop lagged.
  * @property deadlineAtMilliseconds deadline for the complete response.
  * @property isCallerRetry whether the request is probably a retry by the caller after a refusal.
@@ -36,6 +37,7 @@
     val organisation: Organisation?,
     val prompt: PromptProfile?,
     val lastEventId: Long?,
+    val resumes: String?,
     val arrivedAtMilliseconds: Long,
     val deadlineAtMilliseconds: Long,
     val isCallerRetry: Boolean,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
@@ -56,6 +56,7 @@
                 organisation = organisation,
                 prompt = caller.prompt?.takeIf { service.engine != null }?.let { refine(it, route, organisation) },
                 lastEventId = caller.lastEventId,
+                resumes = caller.resumes,
                 arrivedAtMilliseconds = arrivedAtMilliseconds,
                 deadlineAtMilliseconds = arrivedAtMilliseconds + minOf(deadline, route.timeoutMilliseconds),
                 isCallerRetry = isCallerRetry(route, deadline),
