--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFleetFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFleetFixture.kt
@@ -9,6 +9,7 @@
 import toucanrelay.platform.standin.ConfigurationDocumentBuilder
 import toucanrelay.platform.standin.ReceivedResponse
 import toucanrelay.platform.standin.StoreStandIn
+import toucanrelay.platform.standin.StreamTakeUp
 import toucanrelay.platform.standin.TargetScript
 import toucanrelay.platform.standin.TargetStandIn
 import toucanrelay.platform.standin.configurationDocument
@@ -19,7 +20,7 @@
 ) {
     val vertx: Vertx = Vertx.vertx()
     val targets = List(targets) { TargetStandIn(vertx, "target-$it") }
-    private val store = StoreStandIn(vertx)
+    val store = StoreStandIn(vertx)
     private val caller = CallerStandIn(vertx.createHttpClient(HttpClientOptions().setKeepAlive(false)))
     private val running = mutableListOf<GatewayInstance>()
 
@@ -47,6 +48,12 @@
         }
     }
 
+    /** Returns the port of the gateway with index [gateway]. */
+    fun portOf(gateway: Int): Int = running[gateway].port
+
+    /** Stops all gateways at once; those that are started later get new indexes. */
+    suspend fun killAll() = running.forEach { it.kill() }
+
     /** Stops all gateways at once and closes the stand-ins. */
     suspend fun stop() {
         running.forEach { it.kill() }
@@ -59,10 +66,11 @@
         path: String,
         parts: List<String> = listOf("a1", "c3"),
         body: String = "body",
+        takeUp: StreamTakeUp? = null,
     ): ReceivedResponse =
         withTimeout(TIMEOUT_MILLISECONDS) {
             caller
-                .post(running[gateway].port, path, KEY, "id-${System.nanoTime()}", body, parts = parts)
+                .post(running[gateway].port, path, KEY, "id-${System.nanoTime()}", body, parts = parts, takeUp = takeUp)
                 .coAwait()
         }
 
