Let a stream go on only at the software version that began it

Cause: the gateway did not know versions, so each path on which a stream goes on after its first event (another attempt in its answer, a hedge, a take-up at any gateway) was placed on any target; and what a gateway knew of a stream ended with it.

- The version is decided when the first event is passed on.
From then on only targets of that version are candidates, whatever the path; EventOrder rejects an event of another version as the last check before the caller.
- A take-up names the request that began its stream.
Each gateway remembers the origins of streams until no caller can resume them.
While a service has had several versions, or the registrations age, members tell each other the origins in their digests, and one gateway of each region saves them each second (table streams), from which one that starts restores them.
With one version nothing is written; a start costs one read.
- What is not known is not guessed: 503 version-unknown, without Retry-After, if several versions may have begun the stream, or the gateway's registrations are older than 4 s; version-gone if no target of the version is registered.
- A take-up of a known stream is placed like an interrupted request, before new ones: it has done a part of its work.

--- a/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
@@ -7,6 +7,7 @@
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.identity.TargetId
+import toucanrelay.core.stream.ServiceVersion
 import toucanrelay.core.time.Clock
 
 /**
@@ -118,6 +119,13 @@
     /** Returns whether the run [incarnation] of [id] was removed a short time ago. */
     public fun wasRemoved(id: TargetId, incarnation: Incarnation): Boolean = removedRuns.contains(id, incarnation)
 
+    /** Returns the software versions of the registered targets, including leaving ones. */
+    public fun registeredVersions(): Set<ServiceVersion> =
+        currentTargets().values.mapTo(HashSet()) { ServiceVersion(it.registration.service, it.registration.version) }
+
+    /** Returns whether a target of [version] is registered, also a leaving one. */
+    public fun isRegistered(version: ServiceVersion): Boolean = version in registeredVersions()
+
     private fun replace(next: PersistentMap<TargetId, RegisteredTarget>) {
         if (next === targets) return
         (targets.keys - next.keys).forEach { rememberRemoved(targets.getValue(it).registration) }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -12,6 +12,7 @@
 import toucanrelay.gateway.member.RegionServedEntry
 import toucanrelay.gateway.member.ServiceDemandEntry
 import toucanrelay.gateway.member.StatedLimitExchange
+import toucanrelay.gateway.member.StreamOriginExchange
 import toucanrelay.gateway.member.TableAgeEntry
 import toucanrelay.gateway.member.TargetLoadEntry
 import toucanrelay.gateway.member.UsageEntry
@@ -26,6 +27,7 @@
     private val crashEvidence = CrashEvidenceExchange(components.quarantine, components.clock)
     private val statedLimits = StatedLimitExchange(components.statedLimits, components.clock)
     private val leavingRuns = LeavingRunExchange(components.leavingStatements)
+    private val streamOrigins = StreamOriginExchange(components.streamMemory, components.clock)
     private val memberExchange = MemberExchange(components.vertx, components.fleet, components.log, ::receive)
     private var sequence = 0L
     private var hasUnappliedDigests = false
@@ -73,6 +75,9 @@
             demand = demand(),
             statedLimits = statedLimits.shared(),
             leavingRuns = leavingRuns.shared(),
+            streamOrigins = streamOrigins.shared(),
+            versions = streamOrigins.sharedVersions(),
+            knowsVersions = components.streamMemory.isRestored,
         )
 
     private fun loads(): List<TargetLoadEntry> =
@@ -124,6 +129,7 @@
         crashEvidence.receive(digest.crashEvidence)
         statedLimits.receive(digest.statedLimits)
         leavingRuns.receive(digest.leavingRuns)
+        streamOrigins.receive(digest)
         hasUnappliedDigests = true
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Gateway.kt
@@ -51,6 +51,7 @@
             components.log.write("start", "instance" to components.settings.instance, "incarnation" to incarnation)
             components.followers.forEach { follower -> supervisor.launch(follower.taskName) { follower.run() } }
             supervisor.launch("membership") { membership.run() }
+            supervisor.launch("save-streams") { components.streamSaver.run() }
             components.server.listen(GatewayComponents.addressOf(components.settings.callersAddress))
             PlainPageServer(vertx, ::readiness)
                 .listen(GatewayComponents.addressOf(components.settings.readinessAddress))
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -48,8 +48,12 @@
 import toucanrelay.gateway.member.RecentPromptReads
 import toucanrelay.gateway.settings.Bounds
 import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.stream.StreamMemory
+import toucanrelay.gateway.stream.StreamSaver
+import toucanrelay.gateway.stream.TakeUps
 import toucanrelay.gateway.target.TargetPool
 import toucanrelay.platform.StoreClient
+import toucanrelay.platform.StreamTable
 import kotlin.random.Random
 
 /** Creates and connects the components of a gateway process; all are confined to the event loop. */
@@ -117,6 +121,16 @@
                 )
             }
         }
+
+    /** What this process knows of the versions that began streams. */
+    val streamMemory =
+        StreamMemory(clock, targets, ::streamRetentionMilliseconds) {
+            tableCopies.getValue(FollowedTargets.NAME).ageMilliseconds
+        }
+
+    /** Saves [streamMemory] to the store. */
+    val streamSaver =
+        StreamSaver(streamMemory, StreamTable(store), fleet, settings.instanceId, clock, EpochClock, log)
     val answerMemory = AnswerMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS)
     private val runnerDependencies =
         RunnerDependencies(
@@ -128,6 +142,7 @@
             organisationUsage = organisationUsage,
             serviceDemand = serviceDemand,
             statements = TargetStatements(statedLimits, leavingStatements, backoffs),
+            takeUps = TakeUps(streamMemory) { meters.takeUps(it).increment() },
             answerMemory = answerMemory,
             shutdown = shutdown,
             routeDurations = routeDurations,
@@ -176,6 +191,7 @@
         statedLimits.retain(targets.currentTargets().keys)
         backoffs.retain(targets.currentTargets().keys)
         routeDurations.cleanUp()
+        streamMemory.origins.cleanUp()
     }
 
     /** Measures the lag of the event loop and decides whether this process is overloaded. */
@@ -191,6 +207,15 @@
 
     private fun bounds(): Bounds = settings.bounds
 
+    private fun streamRetentionMilliseconds(): Long {
+        val timeouts =
+            configurations.current
+                ?.routes
+                .orEmpty()
+                .map { it.timeoutMilliseconds }
+        return maxOf(MIN_STREAM_RETENTION_MILLISECONDS, timeouts.maxOrNull() ?: 0)
+    }
+
     private fun logCondition(suspect: Suspect, condition: SuspectCondition) {
         log.write("crash-suspect", "suspect" to suspect, "condition" to condition.name.lowercase())
     }
@@ -205,6 +230,7 @@
         /** Answers that are kept whole take one of so many parts of the heap together. */
         const val HEAP_PARTS = 4
         const val DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 60_000L
+        const val MIN_STREAM_RETENTION_MILLISECONDS = 60_000L
         const val REVOCATION_MARGIN_MILLISECONDS = 300.0
 
         fun addressOf(text: String): TargetAddress =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
@@ -12,6 +12,7 @@
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.CloseReason
 import toucanrelay.gateway.http.Refusal
+import toucanrelay.gateway.stream.VersionSource
 import toucanrelay.gateway.target.AnswerPart
 import java.util.concurrent.TimeUnit
 
@@ -40,6 +41,8 @@
         LeavingSource.entries.associateWith {
             counter("toucanrelay_leaving_targets", "source", it.name.lowercase())
         }
+    private val takeUps =
+        VersionSource.entries.associateWith { counter("toucanrelay_take_ups", "version", it.label) }
     private val outcomes = HashMap<String, Counter>()
     private val taskFailures = HashMap<String, Counter>()
     private val firstByteTimers = HashMap<String, Timer>()
@@ -56,6 +59,9 @@
     /** Returns the counter of targets that were first known to be leaving from [source]. */
     fun leavingTargets(source: LeavingSource): Counter = leavingTargets.getValue(source)
 
+    /** Returns the counter of requests that resume a stream whose version is known from [source]. */
+    fun takeUps(source: VersionSource): Counter = takeUps.getValue(source)
+
     /** Returns the counter of connections of callers that were closed without a complete answer for [reason]. */
     fun closedUnanswered(reason: CloseReason): Counter = closedUnanswered.getValue(reason)
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
@@ -7,7 +7,6 @@
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
-import toucanrelay.core.identity.TargetId
 import toucanrelay.core.overload.PlacementPass
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.http.CallerRequest
@@ -16,7 +15,7 @@
 /**
  * Queues requests for a short time while no target can accept them; confined to the event loop.
  *
- * Requests that were already placed once come first, then those of the organisation with the lowest served rate. Within
+ * Requests that were already placed once or resume a stream come first, then those of the organisation with the lowest served rate. Within
  * an organisation, more urgent requests come first, then those that the caller retries after a refusal.
  */
 internal class Admission(
@@ -26,9 +25,9 @@
     private val shares: FairShares,
 ) {
     private class Waiter(
-        val request: CallerRequest,
-        val excluded: Set<TargetId>,
+        val query: PlacementQuery,
     ) {
+        val request: CallerRequest = query.request
         val settled = CompletableDeferred<Unit>()
 
         /** A reservation, or the refusal if no target is left; null while the request waits. */
@@ -47,11 +46,11 @@
     val waiting: Int
         get() = waiters.size
 
-    /** Places [request] on a target that is not in [excluded], waiting if all are busy; else returns why not. */
-    suspend fun place(request: CallerRequest, excluded: Set<TargetId>): Result<Reservation, Unplaced> {
-        val waiter = Waiter(request, excluded)
+    /** Places the request of [query] on a target, waiting if all are busy; else returns why not. */
+    suspend fun place(query: PlacementQuery): Result<Reservation, Unplaced> {
+        val waiter = Waiter(query)
         if (!isPrecededByWaiters(waiter)) {
-            when (val result = placer.place(request, excluded, ::wake)) {
+            when (val result = placer.place(query, ::wake)) {
                 is PlacementResult.Placed -> return Ok(result.reservation)
                 is PlacementResult.BackingOff -> unplacedByBackoff(waiter, result)?.let { return Err(it) }
                 PlacementResult.NoTarget -> return Err(Unplaced(Refusal.NO_TARGET))
@@ -61,10 +60,10 @@
         return if (isServableInTime(waiter)) await(waiter) else Err(Unplaced(Refusal.OVERLOADED))
     }
 
-    /** Places [request] on a target that is not in [excluded] without waiting; returns null if that is not possible. */
-    fun placeAtOnce(request: CallerRequest, excluded: Set<TargetId>): Reservation? {
-        if (isPrecededByWaiters(Waiter(request, excluded))) return null
-        return (placer.place(request, excluded, ::wake) as? PlacementResult.Placed)?.reservation
+    /** Places the request of [query] on a target without waiting; returns null if that is not possible. */
+    fun placeAtOnce(query: PlacementQuery): Reservation? {
+        if (isPrecededByWaiters(Waiter(query))) return null
+        return (placer.place(query, ::wake) as? PlacementResult.Placed)?.reservation
     }
 
     /**
@@ -73,11 +72,11 @@
      * Where the rate of requests is limited, one that arrives at the right moment must not overtake them.
      */
     private fun isPrecededByWaiters(waiter: Waiter): Boolean =
-        waiters.isNotEmpty() && placer.isPaced(waiter.request) && waiters.any { precedes(it, waiter) }
+        waiters.isNotEmpty() && placer.isPaced(waiter.query) && waiters.any { precedes(it, waiter) }
 
     /** Returns whether the request of [waiter] can be sent within its maximum wait, as far as limited rates tell. */
     private fun isServableInTime(waiter: Waiter): Boolean {
-        val capacity = placer.pacedCapacity(waiter.request, waiter.excluded) ?: return true
+        val capacity = placer.pacedCapacity(waiter.query) ?: return true
         val ahead = waiters.count { precedes(it, waiter) }
         return capacity.waitMilliseconds(ahead) <= maxWaitMilliseconds(waiter)
     }
@@ -119,7 +118,7 @@
     private fun drain() {
         val settled =
             PlacementPass.run(waiters.sortedWith(order), { it.request.account }) { waiter ->
-                waiter.result = resultOf(waiter, placer.place(waiter.request, waiter.excluded, ::wake))
+                waiter.result = resultOf(waiter, placer.place(waiter.query, ::wake))
                 waiter.result != null
             }
         waiters.removeAll(settled.toSet())
@@ -132,12 +131,12 @@
         when (placement) {
             is PlacementResult.Placed -> Ok(placement.reservation)
             is PlacementResult.BackingOff -> unplacedByBackoff(waiter, placement)?.let { Err(it) }
-            PlacementResult.NoTarget -> if (waiter.excluded.isEmpty()) Err(Unplaced(Refusal.NO_TARGET)) else null
+            PlacementResult.NoTarget -> if (waiter.query.excluded.isEmpty()) Err(Unplaced(Refusal.NO_TARGET)) else null
             PlacementResult.Busy -> null
         }
 
     private val order: Comparator<Waiter> =
-        compareBy<Waiter> { it.excluded.isEmpty() }
+        compareBy<Waiter> { !it.query.isInterrupted }
             .thenBy { shares.servedPerSecond(it.request.account) }
             .thenBy { it.request.rank }
             .thenBy { !it.request.isCallerRetry }
@@ -146,7 +145,7 @@
     private fun maxWaitMilliseconds(waiter: Waiter): Long {
         val request = waiter.request
         val objective = request.route.latencyObjectiveMilliseconds
-        if (waiter.excluded.isNotEmpty()) return (objective * WAIT_FRACTION_INTERRUPTED).toLong()
+        if (waiter.query.isInterrupted) return (objective * WAIT_FRACTION_INTERRUPTED).toLong()
         val fraction = if (request.isCallerRetry) WAIT_FRACTION_CALLER_RETRY else WAIT_FRACTION_NEW
         val waited = clock.nowMilliseconds() - request.arrivedAtMilliseconds
         val remaining = request.deadlineAtMilliseconds - clock.nowMilliseconds()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Attempt.kt
@@ -1,6 +1,7 @@
 package toucanrelay.gateway.dispatch
 
 import toucanrelay.core.configuration.RouteKind
+import toucanrelay.core.identity.SoftwareVersion
 import toucanrelay.core.placement.EngineSpeed
 import toucanrelay.core.retry.TargetOutcome
 import toucanrelay.core.target.TargetRegistration
@@ -23,6 +24,7 @@
  * @property reservation the capacity at the target that the attempt uses.
  * @param reasonNotToSend returns why the target must not get the request any more, or null if it may; called right
  *   before the request is sent, since opening a connection takes time.
+ * @param onFirstEvent called before the first event is passed on that this attempt brings.
  * @param claim called before a part of the answer is passed on, so that no other attempt at the request continues.
  */
 internal class Attempt(
@@ -35,6 +37,7 @@
     private val statements: TargetStatements,
     private val memory: AnswerMemory.Share,
     private val reasonNotToSend: () -> String?,
+    private val onFirstEvent: (SoftwareVersion) -> Unit,
     private val onReplaced: (TargetRegistration) -> Unit,
     private val claim: (Attempt) -> Unit,
 ) : HedgeableAttempt {
@@ -65,6 +68,8 @@
     /** State of the target. */
     val target = reservation.target
 
+    private val version = reservation.registered.registration.version
+
     private val expectedMilliseconds: Double
         get() = reservation.placement.expectedMilliseconds
 
@@ -170,7 +175,7 @@
     }
 
     private suspend fun relayStream(answer: TargetAnswer): AttemptResult {
-        val relay = StreamRelay(answer, progress, responder, clock, { claim(this) }, ::recordFirstEvent)
+        val relay = StreamRelay(answer, progress, version, responder, clock, { claim(this) }, ::recordFirstEvent)
         streamRelay = relay
         return when (val end = relay.run()) {
             StreamEnd.Complete -> endStream()
@@ -194,6 +199,7 @@
         reservation.recordFirstEvent()
         if (hasFirstEvent) return
         hasFirstEvent = true
+        onFirstEvent(version)
         if (!wasTargetSilent) {
             speed?.recordFirstEvent(
                 reservation.tokensAhead,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -3,7 +3,6 @@
 import toucanrelay.core.configuration.ServiceSettings
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.RegionId
-import toucanrelay.core.identity.TargetId
 import toucanrelay.core.overload.AdmissionLatencyLimit
 import toucanrelay.core.overload.RequestHistory
 import toucanrelay.core.placement.Candidate
@@ -66,10 +65,10 @@
     private val ownRegion = settings.region
     private val speeds = HashMap<String, EngineSpeed>()
 
-    /** Places [request] on a target that is not in [excluded]; [onRelease] runs when that target frees capacity. */
-    fun place(request: CallerRequest, excluded: Set<TargetId>, onRelease: () -> Unit): PlacementResult {
-        val serving = allowedTargets(request)
-        val untried = serving.filter { it.target.id !in excluded }
+    /** Places the request of [query] on a target; [onRelease] runs when that target frees capacity. */
+    fun place(query: PlacementQuery, onRelease: () -> Unit): PlacementResult {
+        val request = query.request
+        val untried = allowedTargets(query).filter { it.target.id !in query.excluded }
         if (untried.isEmpty()) return PlacementResult.NoTarget
         val open = untried.filter { allowances.backoffMilliseconds(it.target) == 0L }
         if (open.isEmpty()) {
@@ -79,7 +78,7 @@
         }
         val usable = usableTargets(preferUnharmed(open, request), request.service)
         val candidates = usable.map { candidateOf(it, request.prompt, request.service) }
-        val placement = choose(request, candidates, historyOf(request, excluded)) ?: return PlacementResult.Busy
+        val placement = choose(request, candidates, historyOf(query)) ?: return PlacementResult.Busy
         return PlacementResult.Placed(
             reserve(request, usable.first { it.target.id == placement.target }, placement, onRelease),
         )
@@ -93,14 +92,15 @@
             else -> null
         }
 
-    /** Returns whether the rate of requests to any target that may serve [request] is limited. */
-    fun isPaced(request: CallerRequest): Boolean =
-        allowedTargets(request).any { allowances.isPaced(it, request.service) }
+    /** Returns whether the rate of requests to any target that may serve [query] is limited. */
+    fun isPaced(query: PlacementQuery): Boolean =
+        allowedTargets(query).any { allowances.isPaced(it, query.request.service) }
 
-    /** Returns what may be sent to the targets of [request] not in [excluded], or null if not all rates are limited. */
-    fun pacedCapacity(request: CallerRequest, excluded: Set<TargetId>): PacedCapacity? {
-        val open = allowedTargets(request).filter { isOpen(it, request.service) && it.target.id !in excluded }
-        if (open.isEmpty() || !open.all { allowances.isPaced(it, request.service) }) return null
+    /** Returns what may be sent to the targets that [query] may be placed on, or null if not all rates are limited. */
+    fun pacedCapacity(query: PlacementQuery): PacedCapacity? {
+        val service = query.request.service
+        val open = allowedTargets(query).filter { isOpen(it, service) && it.target.id !in query.excluded }
+        if (open.isEmpty() || !open.all { allowances.isPaced(it, service) }) return null
         val pacers = open.map { it.target.pacing.pacer }
         return PacedCapacity(
             pacers.mapNotNull { it.millisecondsUntilNext() }.minOrNull(),
@@ -108,16 +108,17 @@
         )
     }
 
-    /** Describes the availability of the targets to [request], for the log. */
-    fun describeAvailability(request: CallerRequest): String {
-        val serving = allowedTargets(request)
+    /** Describes the availability of the targets to [query], for the log. */
+    fun describeAvailability(query: PlacementQuery): String {
+        val request = query.request
+        val serving = allowedTargets(query)
         val usable = usableTargets(serving, request.service)
         val counts = "targets ${serving.size} usable ${usable.size}"
         val prompt = request.prompt ?: return counts
         val candidates = usable.map { candidateOf(it, prompt, request.service) }
         val withRoom = candidates.filter { PlacementPolicy.hasRoom(prompt, it) }
         val unread = withRoom.minOfOrNull { it.load.unreadTokens }
-        val allowed = allowedMilliseconds(request, historyOf(request, emptySet())).toInt()
+        val allowed = allowedMilliseconds(request, historyOf(query)).toInt()
         val paced = serving.count { allowances.isPaced(it, request.service) }
         val backingOff = serving.count { allowances.backoffMilliseconds(it.target) > 0 }
         return "$counts paced $paced backing off $backingOff with room ${withRoom.size} " +
@@ -133,8 +134,11 @@
             )
         }
 
-    private fun allowedTargets(request: CallerRequest): List<ServingTarget> =
-        pool.serving(request.service).filter { request.allows(regionOf(it)) }
+    private fun allowedTargets(query: PlacementQuery): List<ServingTarget> =
+        pool.serving(query.request.service).filter { query.request.allows(regionOf(it)) && query.allows(it) }
+
+    private fun PlacementQuery.allows(serving: ServingTarget): Boolean =
+        version == null || version == serving.registered.registration.version
 
     /**
      * Returns the targets of [serving] at whose addresses nothing crashed on a suspect of [request]; all if there are
@@ -148,10 +152,10 @@
         return serving.filter { it.registered.registration.address !in crashAddresses }.ifEmpty { serving }
     }
 
-    private fun historyOf(request: CallerRequest, excluded: Set<TargetId>): RequestHistory =
+    private fun historyOf(query: PlacementQuery): RequestHistory =
         when {
-            excluded.isNotEmpty() -> RequestHistory.INTERRUPTED
-            request.isCallerRetry -> RequestHistory.CALLER_RETRY
+            query.isInterrupted -> RequestHistory.INTERRUPTED
+            query.request.isCallerRetry -> RequestHistory.CALLER_RETRY
             else -> RequestHistory.NEW
         }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestEnding.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestEnding.kt
@@ -3,6 +3,7 @@
 import toucanrelay.core.overload.RetryDelay
 import toucanrelay.core.retry.NextStep
 import toucanrelay.core.retry.TargetOutcome
+import toucanrelay.core.stream.ServiceVersion
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.CallerResponder
 import toucanrelay.gateway.http.Refusal
@@ -56,15 +57,25 @@
 
     /** Ends the request for the reason that [unplaced] gives, without a further attempt. */
     fun endUnplaced(unplaced: Unplaced) {
-        if (progress.detail == null) progress.detail = dependencies.placer.describeAvailability(request)
+        if (progress.detail ==
+            null
+        ) {
+            progress.detail = dependencies.placer.describeAvailability(progress.queryFor(request))
+        }
         val failure = progress.failure
         when {
-            !progress.mayHaveRun -> refuse(unplaced.refusal, unplaced.returnMilliseconds)
+            !progress.mayHaveRun -> refuse(refusalOf(unplaced), unplaced.returnMilliseconds)
             failure != null && !responder.hasBegun -> relay(failure)
             else -> refuse(Refusal.ANSWER_LOST)
         }
     }
 
+    private fun refusalOf(unplaced: Unplaced): Refusal {
+        val version = progress.streamVersion ?: return unplaced.refusal
+        val isGone = !dependencies.targets.isRegistered(ServiceVersion(request.service.name, version))
+        return if (unplaced.refusal == Refusal.NO_TARGET && isGone) Refusal.VERSION_GONE else unplaced.refusal
+    }
+
     /** Ends the request when its time is over; its answer may have been written just before. */
     fun endAtTimeout() {
         if (responder.isAnswered) end("answered") else endAtDeadline()
@@ -103,6 +114,9 @@
             "detail" to progress.detail,
             "target" to progress.target,
             "targetVersion" to progress.targetVersion,
+            "streamVersion" to progress.streamVersion,
+            "versionFrom" to progress.takeUp?.source?.label,
+            "versionAgeMs" to progress.takeUp?.ageMilliseconds,
             "resumes" to request.resumes,
             "lastEventId" to request.lastEventId,
             "attempts" to progress.attempts,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestProgress.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestProgress.kt
@@ -2,11 +2,19 @@
 
 import toucanrelay.core.identity.SoftwareVersion
 import toucanrelay.core.identity.TargetId
+import toucanrelay.gateway.http.CallerRequest
+import toucanrelay.gateway.stream.TakeUp
 
 /** Progress of a request, for retry decisions and for the log. */
 internal class RequestProgress(
     var lastEventId: Long?,
 ) {
+    /** The version of targets whose events the caller has, the only one that may continue them; null before the first. */
+    var streamVersion: SoftwareVersion? = null
+
+    /** How the version of the stream that the request resumes is known; null if it resumes none. */
+    var takeUp: TakeUp.Continue? = null
+
     /** Targets that the request was placed on. */
     val tried = mutableSetOf<TargetId>()
 
@@ -61,4 +69,8 @@
 
     /** Time from the arrival to the choice of the first target. */
     var waitedMilliseconds: Long? = null
+
+    /** Returns what [request] needs of its next target. */
+    fun queryFor(request: CallerRequest): PlacementQuery =
+        PlacementQuery(request, tried, streamVersion, isTakeUp = takeUp?.ageMilliseconds != null)
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -11,6 +11,7 @@
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.CallerResponder
 import toucanrelay.gateway.http.RequestWork
+import toucanrelay.gateway.stream.TakeUp
 
 /** Serves one accepted request: sends it to targets until it is answered or must not be retried. */
 internal class RequestRunner(
@@ -34,17 +35,35 @@
         request.prompt?.let { dependencies.organisationUsage.recordDemand(request.usageKey, it.chargedTokens) }
         val remaining =
             request.deadlineAtMilliseconds - dependencies.clock.nowMilliseconds() - ANSWER_MARGIN_MILLISECONDS
+        when (val takeUp = dependencies.takeUps.decide(request)) {
+            TakeUp.None -> Unit
+            is TakeUp.Continue -> recordTakeUp(takeUp)
+            is TakeUp.Refuse -> return refuseTakeUp(takeUp)
+        }
         val isDone = withTimeoutOrNull(maxOf(1, remaining)) { attemptUntilAnswered() }
         if (isDone == null) ending.endAtTimeout()
     }
 
     override fun logEnd(outcome: String) = ending.log(outcome)
 
+    private fun recordTakeUp(takeUp: TakeUp.Continue) {
+        progress.takeUp = takeUp
+        progress.streamVersion = takeUp.version
+    }
+
+    private fun refuseTakeUp(takeUp: TakeUp.Refuse) {
+        progress.detail = takeUp.detail
+        ending.endUnplaced(Unplaced(takeUp.refusal))
+    }
+
+    private val query: PlacementQuery
+        get() = progress.queryFor(request)
+
     private suspend fun attemptUntilAnswered() {
         while (true) {
             conditions.refusal()?.let { return ending.endUnplaced(Unplaced(it)) }
             val reservation =
-                dependencies.admission.place(request, progress.tried).getOrElse { return ending.endUnplaced(it) }
+                dependencies.admission.place(query).getOrElse { return ending.endUnplaced(it) }
             conditions.refusal()?.let {
                 reservation.release()
                 return ending.endUnplaced(Unplaced(it))
@@ -71,6 +90,7 @@
             dependencies.statements,
             dependencies.answerMemory.newShare(),
             { dependencies.placer.reasonNotToSend(reservation) ?: TOO_LATE.takeIf { isOverdue() } },
+            { dependencies.takeUps.recordEvent(request, it) },
             ::recordReplaced,
             claim,
         )
@@ -87,7 +107,7 @@
         val fleetSize = dependencies.retryBudgets.fleetSize
         if (!retryBudget.isAvailable(fleetSize)) return null
         val silent = progress.target
-        val reservation = dependencies.admission.placeAtOnce(request, progress.tried) ?: return null
+        val reservation = dependencies.admission.placeAtOnce(query) ?: return null
         retryBudget.tryAcquire(fleetSize)
         progress.mayHaveRun = true
         dependencies.meters.hedges.increment()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RunnerDependencies.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RunnerDependencies.kt
@@ -9,6 +9,7 @@
 import toucanrelay.gateway.body.AnswerMemory
 import toucanrelay.gateway.http.RequestIntake
 import toucanrelay.gateway.log.EventLog
+import toucanrelay.gateway.stream.TakeUps
 import kotlin.random.Random
 
 /** Components of the process that [RequestRunner] uses. */
@@ -21,6 +22,7 @@
     val organisationUsage: OrganisationUsage,
     val serviceDemand: ServiceDemand,
     val statements: TargetStatements,
+    val takeUps: TakeUps,
     val answerMemory: AnswerMemory,
     val shutdown: Shutdown,
     val routeDurations: RouteDurations,
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/StreamRelay.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/StreamRelay.kt
@@ -1,6 +1,7 @@
 package toucanrelay.gateway.dispatch
 
 import io.vertx.core.buffer.Buffer
+import toucanrelay.core.identity.SoftwareVersion
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.body.BodyPart
 import toucanrelay.gateway.http.CallerResponder
@@ -35,19 +36,21 @@
 /**
  * Passes on the events of a stream as they arrive.
  *
+ * @param version version of the target that writes the stream.
  * @param claim called before an event is passed on, so that no other attempt at the request continues.
  * @param onEvent called before each event is passed on.
  */
 internal class StreamRelay(
     private val answer: TargetAnswer,
     private val progress: RequestProgress,
+    version: SoftwareVersion,
     private val responder: CallerResponder,
     private val clock: Clock,
     private val claim: () -> Unit,
     private val onEvent: () -> Unit,
 ) {
     private val splitter = EventSplitter()
-    private val order = EventOrder(progress)
+    private val order = EventOrder(progress, version)
 
     /** Filler that has arrived before the first event that is passed on. */
     private var held = Buffer.buffer()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
@@ -12,7 +12,7 @@
     private val log: EventLog,
     private val onChange: () -> Unit,
 ) : FollowedTable {
-    override val name = "targets"
+    override val name = NAME
     override val nameInStore = TargetTable.NAME
     override val isUrgent: Boolean
         get() = registry.currentTargets().isEmpty()
@@ -63,4 +63,9 @@
             "coldMs" to registration.coldMilliseconds,
         )
     }
+
+    companion object {
+        /** The table's name in logs and between members. */
+        const val NAME = "targets"
+    }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerRequest.kt
@@ -23,6 +23,7 @@
  * @property resumes id of the request whose answer brought the first event of the stream that is resumed; null if unknown.
  * @property arrivedAtMilliseconds when the request arrived, estimated if the event loop lagged.
  * @property deadlineAtMilliseconds deadline for the complete response.
+ * @property callerDeadlineAtMilliseconds until when the caller waits, also for the answer to a later request of its own.
  * @property isCallerRetry whether the request is probably a retry by the caller after a refusal.
  */
 internal class CallerRequest(
@@ -40,6 +41,7 @@
     val resumes: String?,
     val arrivedAtMilliseconds: Long,
     val deadlineAtMilliseconds: Long,
+    val callerDeadlineAtMilliseconds: Long,
     val isCallerRetry: Boolean,
 ) {
     /** The organisation whose usage the request counts towards; anonymous requests share [ANONYMOUS]. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
@@ -33,6 +33,15 @@
     /** No target that may serve the request exists. */
     NO_TARGET("no-target", 503, true),
 
+    /** This process does not know yet which versions of targets were in service before it started. */
+    VERSIONS_NOT_READ("versions-not-read", 503, true),
+
+    /** Several versions of targets may have begun the stream that the request resumes; only its own may continue it. */
+    VERSION_UNKNOWN("version-unknown", 503, false),
+
+    /** No target has the version that began the stream that the request resumes. */
+    VERSION_GONE("version-gone", 503, false),
+
     /** Targets crashed on the request or a part of its prompt; it has not run, and would be refused again. */
     QUARANTINED("quarantined", 503, false),
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
@@ -41,7 +41,9 @@
         val host = request.authority()?.host() ?: return Err(Refusal.MALFORMED)
         val route = configuration.routeOf(host, request.path().orEmpty()) ?: return Err(unknownRoute())
         val organisation = identify(configuration, route, caller).getOrElse { return Err(it) }
-        val service = configuration.services[serviceOf(route, requestId)] ?: return Err(Refusal.NO_TARGET)
+        val service =
+            configuration.services[serviceOf(route, requestId)]
+                ?: return Err(Refusal.NO_TARGET)
         val deadline = caller.deadlineMilliseconds ?: route.timeoutMilliseconds
         return Ok(
             CallerRequest(
@@ -59,6 +61,7 @@
                 resumes = caller.resumes,
                 arrivedAtMilliseconds = arrivedAtMilliseconds,
                 deadlineAtMilliseconds = arrivedAtMilliseconds + minOf(deadline, route.timeoutMilliseconds),
+                callerDeadlineAtMilliseconds = arrivedAtMilliseconds + deadline,
                 isCallerRetry = isCallerRetry(route, deadline),
             ),
         )
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/DigestCheck.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/DigestCheck.kt
@@ -26,6 +26,9 @@
         demand = demand.filter { it.requestsPerSecond.toDouble().isUsable() },
         statedLimits = statedLimits.filter { it.isUsable() },
         leavingRuns = leavingRuns.filter { it.incarnation in numbers },
+        streamOrigins = streamOrigins.filter { origin -> origin.streams.all { it.remainingMilliseconds in numbers } },
+        versions = versions.filter { it.agoMilliseconds in numbers },
+        knowsVersions = knowsVersions,
     )
 
 private fun TargetLoadEntry.isUsable() =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -3,7 +3,9 @@
 package toucanrelay.gateway.member
 
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoIntegerType
 import kotlinx.serialization.protobuf.ProtoNumber
+import kotlinx.serialization.protobuf.ProtoType
 
 /** Load that a member has at one target. */
 @Serializable
@@ -117,6 +119,38 @@
     @ProtoNumber(2) val incarnation: Long,
 )
 
+/**
+ * A stream whose first event the sending member passed on.
+ *
+ * @property key hash of the id of the request whose answer brought the first event.
+ * @property remainingMilliseconds time for which callers can still resume the stream.
+ */
+@Serializable
+internal class StreamEntry(
+    @ProtoNumber(1) @ProtoType(ProtoIntegerType.FIXED) val key: Long,
+    @ProtoNumber(2) val remainingMilliseconds: Long,
+)
+
+/** Streams that targets of one software version of a service began. */
+@Serializable
+internal class StreamOriginsEntry(
+    @ProtoNumber(1) val service: String,
+    @ProtoNumber(2) val version: String,
+    @ProtoNumber(3) val streams: List<StreamEntry> = emptyList(),
+)
+
+/**
+ * A software version of a service that has had several recently.
+ *
+ * @property agoMilliseconds time since the sending member last knew a registered target of that version.
+ */
+@Serializable
+internal class ServiceVersionEntry(
+    @ProtoNumber(1) val service: String,
+    @ProtoNumber(2) val version: String,
+    @ProtoNumber(3) val agoMilliseconds: Long = 0,
+)
+
 /**
  * Summary of a member's state, which it sends to the others several times per second.
  *
@@ -124,6 +158,7 @@
  * @property sequence increases with each digest of a run.
  * @property isLeaving whether the member is shutting down.
  * @property isReady whether the member tells the load balancer that it takes new connections.
+ * @property knowsVersions whether the member knows the software versions that were in service before it started.
  * @property tables copies of tables that other members can read.
  */
 @Serializable
@@ -143,4 +178,7 @@
     @ProtoNumber(13) val demand: List<ServiceDemandEntry> = emptyList(),
     @ProtoNumber(14) val statedLimits: List<StatedLimitEntry> = emptyList(),
     @ProtoNumber(15) val leavingRuns: List<LeavingRunEntry> = emptyList(),
+    @ProtoNumber(16) val streamOrigins: List<StreamOriginsEntry> = emptyList(),
+    @ProtoNumber(17) val versions: List<ServiceVersionEntry> = emptyList(),
+    @ProtoNumber(18) val knowsVersions: Boolean = false,
 )
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
@@ -53,6 +53,7 @@
     fun isServing(registered: RegisteredTarget): Boolean {
         val known = registry.find(registered.registration.id) ?: return false
         return known.registration.incarnation == registered.registration.incarnation &&
+            known.registration.version == registered.registration.version &&
             !known.isLeaving &&
             known.registration.failureDomain !in domainsOutOfService
     }
