Let a stream of a divided route go on at the service that began it

A route with weighted services chooses by the id of the request. The choice now goes by the request that began the stream, which Resumes names. ResumedServiceTest: failed on the code before (targets of both services answered the take-ups of one stream), passes.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/RequestIntake.kt
@@ -42,7 +42,7 @@
         val route = configuration.routeOf(host, request.path().orEmpty()) ?: return Err(unknownRoute())
         val organisation = identify(configuration, route, caller).getOrElse { return Err(it) }
         val service =
-            configuration.services[serviceOf(route, requestId)]
+            configuration.services[serviceOf(route, streamRequestId(caller) ?: requestId)]
                 ?: return Err(Refusal.NO_TARGET)
         val deadline = caller.deadlineMilliseconds ?: route.timeoutMilliseconds
         return Ok(
@@ -67,6 +67,9 @@
         )
     }
 
+    /** Returns the id of the request that began the stream that [caller] resumes, which determined its service. */
+    private fun streamRequestId(caller: CallerHeaders): String? = caller.resumes?.takeIf { caller.lastEventId != null }
+
     private fun refine(prompt: PromptProfile, route: Route, organisation: Organisation?): PromptProfile =
         estimates.refine(prompt, route, organisation?.id ?: CallerRequest.ANONYMOUS)
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFleetFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFleetFixture.kt
@@ -67,10 +67,11 @@
         parts: List<String> = listOf("a1", "c3"),
         body: String = "body",
         takeUp: StreamTakeUp? = null,
+        id: String = "id-${System.nanoTime()}",
     ): ReceivedResponse =
         withTimeout(TIMEOUT_MILLISECONDS) {
             caller
-                .post(running[gateway].port, path, KEY, "id-${System.nanoTime()}", body, parts = parts, takeUp = takeUp)
+                .post(running[gateway].port, path, KEY, id, body, parts = parts, takeUp = takeUp)
                 .coAwait()
         }
 
