Close the gaps in which a version that came or went was not known everywhere

A new version begins streams only 2.5 s after its first target registered, while another one can begin them, and registrations older than 2 s (before: 4 s) are not derived from.

--- a/core/src/main/kotlin/toucanrelay/core/stream/VersionHistory.kt
+++ b/core/src/main/kotlin/toucanrelay/core/stream/VersionHistory.kt
@@ -18,30 +18,37 @@
     private val clock: Clock,
     private val retentionMilliseconds: () -> Long,
 ) {
-    private val lastSeenAtMilliseconds = HashMap<ServiceVersion, Long>()
+    private class Sighting(
+        var firstAtMilliseconds: Long,
+        var lastAtMilliseconds: Long,
+    )
 
-    /** Records that targets of [version] were registered [agoMilliseconds] ago. */
-    public fun record(version: ServiceVersion, agoMilliseconds: Long = 0) {
-        val seenAt = clock.nowMilliseconds() - agoMilliseconds
-        lastSeenAtMilliseconds.merge(version, seenAt, ::maxOf)
+    private val sightings = HashMap<ServiceVersion, Sighting>()
+
+    /** Records that targets of [version] were registered [agoMilliseconds] ago, and first [ageMilliseconds] ago. */
+    public fun record(version: ServiceVersion, agoMilliseconds: Long = 0, ageMilliseconds: Long = agoMilliseconds) {
+        val firstAt = clock.nowMilliseconds() - ageMilliseconds
+        val lastAt = clock.nowMilliseconds() - agoMilliseconds
+        val sighting = sightings.getOrPut(version) { Sighting(firstAt, lastAt) }
+        sighting.firstAtMilliseconds = minOf(sighting.firstAtMilliseconds, firstAt)
+        sighting.lastAtMilliseconds = maxOf(sighting.lastAtMilliseconds, lastAt)
     }
 
+    /** Returns the time since [version] was first registered, as far as is known; 0 if it was not. */
+    public fun ageMilliseconds(version: ServiceVersion): Long =
+        sightings[version]?.let { clock.nowMilliseconds() - it.firstAtMilliseconds } ?: 0
+
     /** Returns the versions of [service] that were registered recently. */
     public fun versionsOf(service: String): Set<SoftwareVersion> =
         recent().keys.filter { it.service == service }.mapTo(HashSet()) { it.version }
 
-    /** Returns the recently registered versions of the services that had several, with the time since each was seen. */
-    public fun contested(): Map<ServiceVersion, Long> {
-        val byService = recent().entries.groupBy { it.key.service }
-        return byService.values
-            .filter { it.size > 1 }
-            .flatten()
-            .associate { (version, seenAt) -> version to clock.nowMilliseconds() - seenAt }
-    }
+    /** Returns the recently registered versions of all services, with the time since each was last registered. */
+    public fun recentVersions(): Map<ServiceVersion, Long> =
+        recent().mapValues { (_, sighting) -> clock.nowMilliseconds() - sighting.lastAtMilliseconds }
 
-    private fun recent(): Map<ServiceVersion, Long> {
+    private fun recent(): Map<ServiceVersion, Sighting> {
         val oldest = clock.nowMilliseconds() - retentionMilliseconds()
-        lastSeenAtMilliseconds.values.removeIf { it < oldest }
-        return lastSeenAtMilliseconds
+        sightings.values.removeIf { it.lastAtMilliseconds < oldest }
+        return sightings
     }
 }
--- a/core/src/main/kotlin/toucanrelay/core/target/TargetRegistration.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetRegistration.kt
@@ -4,6 +4,7 @@
 import toucanrelay.core.identity.Incarnation
 import toucanrelay.core.identity.SoftwareVersion
 import toucanrelay.core.identity.TargetId
+import toucanrelay.core.stream.ServiceVersion
 
 /** Network address of a target. */
 public data class TargetAddress(
@@ -31,4 +32,8 @@
     public val slots: Int,
     public val isLeaving: Boolean,
     public val coldMilliseconds: Long,
-)
+) {
+    /** The version and the service whose software it is. */
+    public val serviceVersion: ServiceVersion
+        get() = ServiceVersion(service, version)
+}
--- a/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
@@ -121,7 +121,7 @@
 
     /** Returns the software versions of the registered targets, including leaving ones. */
     public fun registeredVersions(): Set<ServiceVersion> =
-        currentTargets().values.mapTo(HashSet()) { ServiceVersion(it.registration.service, it.registration.version) }
+        currentTargets().values.mapTo(HashSet()) { it.registration.serviceVersion }
 
     /** Returns whether a target of [version] is registered, also a leaving one. */
     public fun isRegistered(version: ServiceVersion): Boolean = version in registeredVersions()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -92,7 +92,12 @@
     val shutdown = Shutdown(clock)
     private val routeDurations = RouteDurations(clock)
     private val allowances = TargetAllowances(settings.instanceId, clock, fleet, serviceDemand, statedLimits, backoffs)
-    private val placer = Placer(settings, ::regionOf, clock, pool, allowances, fairShares, recentReads, quarantine)
+
+    /** What this process knows of the versions that began streams. */
+    val streamMemory =
+        StreamMemory(clock, targets, ::streamRetentionMilliseconds, ::registrationsAgeMilliseconds)
+    private val placer =
+        Placer(settings, ::regionOf, clock, pool, allowances, fairShares, recentReads, quarantine, streamMemory)
     private val outputEstimates = OutputEstimates()
     private val intake = RequestIntake(clock, configurations, outputEstimates, ::maxAgeMilliseconds)
 
@@ -122,12 +127,6 @@
             }
         }
 
-    /** What this process knows of the versions that began streams. */
-    val streamMemory =
-        StreamMemory(clock, targets, ::streamRetentionMilliseconds) {
-            tableCopies.getValue(FollowedTargets.NAME).ageMilliseconds
-        }
-
     /** Saves [streamMemory] to the store. */
     val streamSaver =
         StreamSaver(streamMemory, StreamTable(store), fleet, settings.instanceId, clock, EpochClock, log)
@@ -207,6 +206,8 @@
 
     private fun bounds(): Bounds = settings.bounds
 
+    private fun registrationsAgeMilliseconds(): Long? = tableCopies.getValue(FollowedTargets.NAME).ageMilliseconds
+
     private fun streamRetentionMilliseconds(): Long {
         val timeouts =
             configurations.current
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -1,5 +1,6 @@
 package toucanrelay.gateway.dispatch
 
+import toucanrelay.core.configuration.RouteKind
 import toucanrelay.core.configuration.ServiceSettings
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.RegionId
@@ -18,6 +19,7 @@
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.member.RecentPromptReads
 import toucanrelay.gateway.settings.GatewaySettings
+import toucanrelay.gateway.stream.StreamMemory
 import toucanrelay.gateway.target.ServingTarget
 import toucanrelay.gateway.target.Target
 import toucanrelay.gateway.target.TargetPool
@@ -60,6 +62,7 @@
     private val shares: FairShares,
     private val reads: RecentPromptReads,
     private val quarantine: CrashQuarantine,
+    private val streamMemory: StreamMemory,
 ) {
     private val ownDomain = FailureDomainId(settings.failureDomain)
     private val ownRegion = settings.region
@@ -135,11 +138,22 @@
         }
 
     private fun allowedTargets(query: PlacementQuery): List<ServingTarget> =
-        pool.serving(query.request.service).filter { query.request.allows(regionOf(it)) && query.allows(it) }
+        beginningTargets(
+            pool.serving(query.request.service).filter { query.request.allows(regionOf(it)) && query.allows(it) },
+            query,
+        )
 
     private fun PlacementQuery.allows(serving: ServingTarget): Boolean =
         version == null || version == serving.registered.registration.version
 
+    /** Returns the targets of [serving] whose versions may begin streams, if [query] is for a new one. */
+    private fun beginningTargets(serving: List<ServingTarget>, query: PlacementQuery): List<ServingTarget> {
+        val mayBeginAnywhere = query.version != null || query.request.route.kind != RouteKind.STREAMING
+        if (mayBeginAnywhere) return serving
+        val versions = streamMemory.beginningVersions(serving.map { it.registered.registration.serviceVersion })
+        return serving.filter { it.registered.registration.serviceVersion in versions }
+    }
+
     /**
      * Returns the targets of [serving] at whose addresses nothing crashed on a suspect of [request]; all if there are
      * none.
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/DigestCheck.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/DigestCheck.kt
@@ -27,7 +27,7 @@
         statedLimits = statedLimits.filter { it.isUsable() },
         leavingRuns = leavingRuns.filter { it.incarnation in numbers },
         streamOrigins = streamOrigins.filter { origin -> origin.streams.all { it.remainingMilliseconds in numbers } },
-        versions = versions.filter { it.agoMilliseconds in numbers },
+        versions = versions.filter { it.agoMilliseconds in numbers && it.ageMilliseconds in numbers },
         knowsVersions = knowsVersions,
     )
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -143,12 +143,14 @@
  * A software version of a service that has had several recently.
  *
  * @property agoMilliseconds time since the sending member last knew a registered target of that version.
+ * @property ageMilliseconds time since any member first knew one.
  */
 @Serializable
 internal class ServiceVersionEntry(
     @ProtoNumber(1) val service: String,
     @ProtoNumber(2) val version: String,
     @ProtoNumber(3) val agoMilliseconds: Long = 0,
+    @ProtoNumber(4) val ageMilliseconds: Long = 0,
 )
 
 /**
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/StreamOriginExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/StreamOriginExchange.kt
@@ -29,12 +29,14 @@
     /** Returns the versions of the services that have had several recently, for the next digest. */
     fun sharedVersions(): List<ServiceVersionEntry> =
         memory.contestedVersions().map { (version, ago) ->
-            ServiceVersionEntry(version.service, version.version.value, ago)
+            ServiceVersionEntry(version.service, version.version.value, ago, memory.ageMilliseconds(version))
         }
 
     /** Records what another member's [digest] says of streams and versions. */
     fun receive(digest: MemberDigest) {
-        digest.versions.forEach { memory.recordVersion(versionOf(it.service, it.version), it.agoMilliseconds) }
+        digest.versions.forEach {
+            memory.recordVersion(versionOf(it.service, it.version), it.agoMilliseconds, it.ageMilliseconds)
+        }
         digest.streamOrigins.forEach { receive(it) }
         if (digest.knowsVersions) memory.recordRestored()
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamMemory.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamMemory.kt
@@ -13,7 +13,7 @@
 /**
  * What this process knows of the software versions that began streams; confined to the event loop.
  *
- * While a service has had a single version, that one began all its streams. Otherwise the origin of each stream is shared
+ * While a service has had a single version, that one began all its streams, and no record of them is needed. Otherwise the origin of each stream is shared
  * with the other members and saved to the store.
  *
  * @param retentionMilliseconds returns how long a stream can be resumed after its version was last seen.
@@ -44,11 +44,14 @@
         isRestored = true
     }
 
-    /** Records that targets of [version] were registered [agoMilliseconds] ago. */
-    fun recordVersion(version: ServiceVersion, agoMilliseconds: Long) {
-        history.record(version, agoMilliseconds)
+    /** Records that targets of [version] were last registered [agoMilliseconds] ago, and first [ageMilliseconds] ago. */
+    fun recordVersion(version: ServiceVersion, agoMilliseconds: Long, ageMilliseconds: Long) {
+        history.record(version, agoMilliseconds, ageMilliseconds)
     }
 
+    /** Returns the time since targets of [version] were first registered, as far as is known. */
+    fun ageMilliseconds(version: ServiceVersion): Long = history.ageMilliseconds(version)
+
     /** Records that a target of [version] writes the events of [stream], which can be resumed until [expiresAt]. */
     fun recordOwn(stream: StreamKey, version: ServiceVersion, expiresAt: Long) {
         origins.record(stream, StreamOrigin(version.service, version.version, OriginSource.OWN, expiresAt))
@@ -60,10 +63,36 @@
         return history.versionsOf(service)
     }
 
-    /** Returns the versions of the services that have had several recently, with the time since each was registered. */
-    fun contestedVersions(): Map<ServiceVersion, Long> {
+    /** Returns the versions that were registered recently, with the time since then; 0 for those that still are. */
+    fun recentVersions(): Map<ServiceVersion, Long> {
         recordRegistered()
-        return history.contested()
+        return history.recentVersions()
+    }
+
+    /** Returns those of [recentVersions] whose services have had several. */
+    fun contestedVersions(): Map<ServiceVersion, Long> {
+        val recent = recentVersions()
+        val byService = recent.keys.groupBy { it.service }
+        return recent.filterKeys { byService.getValue(it.service).size > 1 }
+    }
+
+    /**
+     * Returns those of [versions] that may begin streams: not the ones that are new, unless there are no others.
+     *
+     * A version is new until every member whose registrations are recent enough to derive versions from them knows it.
+     *
+     * @param versions the versions of the targets that could begin a stream.
+     */
+    fun beginningVersions(versions: List<ServiceVersion>): Set<ServiceVersion> {
+        val distinct = versions.toSet()
+        if (distinct.size < 2) return distinct
+        val settled = distinct.filterTo(HashSet()) { ageMilliseconds(it) >= SETTLING_MILLISECONDS }
+        return settled.ifEmpty { setOf(mostFrequent(versions)) }
+    }
+
+    private fun mostFrequent(versions: List<ServiceVersion>): ServiceVersion {
+        val counts = versions.groupingBy { it }.eachCount()
+        return counts.entries.maxWith(compareBy({ it.value }, { it.key.version.value })).key
     }
 
     /** Returns the origins of streams that the other members may not know. */
@@ -89,7 +118,8 @@
         get() = (registrationsAgeMilliseconds() ?: 0) > AGEING_REGISTRATIONS_MILLISECONDS
 
     private companion object {
-        const val MAX_REGISTRATIONS_AGE_MILLISECONDS = 4_000L
-        const val AGEING_REGISTRATIONS_MILLISECONDS = 2_000L
+        const val MAX_REGISTRATIONS_AGE_MILLISECONDS = 2_000L
+        const val SETTLING_MILLISECONDS = MAX_REGISTRATIONS_AGE_MILLISECONDS + 500L
+        const val AGEING_REGISTRATIONS_MILLISECONDS = 1_500L
     }
 }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/VersionedFleetFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/VersionedFleetFixture.kt
@@ -43,6 +43,7 @@
             service(GatewayFleetFixture.SERVICE, engineMemoryTokens = ENGINE_MEMORY_TOKENS)
         }
         repeat(gateways) { startGateway() }
+        if (versions.distinct().size > 1) delay(SETTLED_MILLISECONDS)
         forgetReceived()
     }
 
@@ -109,6 +110,9 @@
     companion object {
         const val EVENTS_BEFORE_BREAK = 3
         const val EVENTS = 6
+
+        /** Time after which each of several versions begins streams. */
+        private const val SETTLED_MILLISECONDS = 2_700L
         private const val STORED_MILLISECONDS = 2_500L
         private const val ENGINE_MEMORY_TOKENS = 100_000L
         private val DATA = Regex("data: (\\S+)")
