--- a/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
@@ -31,6 +31,9 @@
     private val leavingRuns = RecentRuns(MAX_REMEMBERED_RUNS)
     private var servingLists = HashMap<ServingKey, List<RegisteredTarget>>()
 
+    /** The software versions of [targets]; null until they are asked for. */
+    private var versions: Set<ServiceVersion>? = null
+
     private data class ServingKey(
         val service: String,
         val excludedDomains: Set<FailureDomainId>,
@@ -120,8 +123,10 @@
     public fun wasRemoved(id: TargetId, incarnation: Incarnation): Boolean = removedRuns.contains(id, incarnation)
 
     /** Returns the software versions of the registered targets, including leaving ones. */
-    public fun registeredVersions(): Set<ServiceVersion> =
-        currentTargets().values.mapTo(HashSet()) { it.registration.serviceVersion }
+    public fun registeredVersions(): Set<ServiceVersion> {
+        val current = currentTargets()
+        return versions ?: current.values.mapTo(HashSet()) { it.registration.serviceVersion }.also { versions = it }
+    }
 
     /** Returns whether a target of [version] is registered, also a leaving one. */
     public fun isRegistered(version: ServiceVersion): Boolean = version in registeredVersions()
@@ -132,6 +137,7 @@
         targets = next
         pendingRemovals = next.values.count { it.removedAtMilliseconds != null }
         servingLists.clear()
+        versions = null
     }
 
     private fun rememberRemoved(registration: TargetRegistration) {
--- a/core/src/test/kotlin/toucanrelay/core/target/TargetRegistryTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/target/TargetRegistryTest.kt
@@ -6,7 +6,9 @@
 import io.kotest.matchers.shouldBe
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.Incarnation
+import toucanrelay.core.identity.SoftwareVersion
 import toucanrelay.core.identity.TargetId
+import toucanrelay.core.stream.ServiceVersion
 import toucanrelay.core.time.ManualClock
 
 private const val GRACE_MILLISECONDS = 2_200L
@@ -110,6 +112,31 @@
             }
         }
 
+        describe("the registered versions") {
+            val first = ServiceVersion("service", SoftwareVersion("v1"))
+            val second = ServiceVersion("service", SoftwareVersion("v2"))
+
+            it("are those of the targets that are registered, also of leaving ones") {
+                val registry = newRegistry()
+                registry.register(registration().copy(version = first.version))
+                registry.registeredVersions() shouldBe setOf(first)
+                registry.register(registration(isLeaving = true, id = TargetId("b")).copy(version = second.version))
+                registry.registeredVersions() shouldBe setOf(first, second)
+                registry.isRegistered(second) shouldBe true
+                registry.remove(TargetId("b"))
+                registry.registeredVersions() shouldBe setOf(first)
+                registry.isRegistered(second) shouldBe false
+            }
+
+            it("change with the next run of a target") {
+                val registry = newRegistry()
+                registry.register(registration().copy(version = first.version))
+                registry.registeredVersions() shouldBe setOf(first)
+                registry.register(registration(incarnation = 2).copy(version = second.version))
+                registry.registeredVersions() shouldBe setOf(second)
+            }
+        }
+
         describe("a removed run of a target") {
             it("is remembered, and not taken for a later run") {
                 val registry = newRegistry()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -31,6 +31,7 @@
 import toucanrelay.gateway.dispatch.ServiceDemand
 import toucanrelay.gateway.dispatch.SilenceDetector
 import toucanrelay.gateway.dispatch.TargetAllowances
+import toucanrelay.gateway.dispatch.TargetSelection
 import toucanrelay.gateway.dispatch.TargetStatements
 import toucanrelay.gateway.follow.FollowedOperators
 import toucanrelay.gateway.follow.FollowedTargets
@@ -96,8 +97,8 @@
     /** What this process knows of the versions that began streams. */
     val streamMemory =
         StreamMemory(clock, targets, ::streamRetentionMilliseconds, ::registrationsAgeMilliseconds)
-    private val placer =
-        Placer(settings, ::regionOf, clock, pool, allowances, fairShares, recentReads, quarantine, streamMemory)
+    private val selection = TargetSelection(::regionOf, pool, allowances, quarantine, streamMemory)
+    private val placer = Placer(settings, ::regionOf, clock, pool, allowances, fairShares, recentReads, selection)
     private val outputEstimates = OutputEstimates()
     private val intake = RequestIntake(clock, configurations, outputEstimates, ::maxAgeMilliseconds)
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -1,6 +1,5 @@
 package toucanrelay.gateway.dispatch
 
-import toucanrelay.core.configuration.RouteKind
 import toucanrelay.core.configuration.ServiceSettings
 import toucanrelay.core.identity.FailureDomainId
 import toucanrelay.core.identity.RegionId
@@ -13,13 +12,10 @@
 import toucanrelay.core.placement.PlacementPolicy
 import toucanrelay.core.placement.PromptProfile
 import toucanrelay.core.placement.TargetLoad
-import toucanrelay.core.quarantine.CrashQuarantine
-import toucanrelay.core.target.TargetCondition
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.member.RecentPromptReads
 import toucanrelay.gateway.settings.GatewaySettings
-import toucanrelay.gateway.stream.StreamMemory
 import toucanrelay.gateway.target.ServingTarget
 import toucanrelay.gateway.target.Target
 import toucanrelay.gateway.target.TargetPool
@@ -61,8 +57,7 @@
     private val allowances: TargetAllowances,
     private val shares: FairShares,
     private val reads: RecentPromptReads,
-    private val quarantine: CrashQuarantine,
-    private val streamMemory: StreamMemory,
+    private val selection: TargetSelection,
 ) {
     private val ownDomain = FailureDomainId(settings.failureDomain)
     private val ownRegion = settings.region
@@ -71,7 +66,7 @@
     /** Places the request of [query] on a target; [onRelease] runs when that target frees capacity. */
     fun place(query: PlacementQuery, onRelease: () -> Unit): PlacementResult {
         val request = query.request
-        val untried = allowedTargets(query).filter { it.target.id !in query.excluded }
+        val untried = selection.allowed(query).filter { it.target.id !in query.excluded }
         if (untried.isEmpty()) return PlacementResult.NoTarget
         val open = untried.filter { allowances.backoffMilliseconds(it.target) == 0L }
         if (open.isEmpty()) {
@@ -79,7 +74,7 @@
                 untried.minOf { allowances.backoffMilliseconds(it.target) },
             )
         }
-        val usable = usableTargets(preferUnharmed(open, request), request.service)
+        val usable = selection.usable(selection.preferUnharmed(open, request), request.service)
         val candidates = usable.map { candidateOf(it, request.prompt, request.service) }
         val placement = choose(request, candidates, historyOf(query)) ?: return PlacementResult.Busy
         return PlacementResult.Placed(
@@ -97,12 +92,12 @@
 
     /** Returns whether the rate of requests to any target that may serve [query] is limited. */
     fun isPaced(query: PlacementQuery): Boolean =
-        allowedTargets(query).any { allowances.isPaced(it, query.request.service) }
+        selection.allowed(query).any { allowances.isPaced(it, query.request.service) }
 
     /** Returns what may be sent to the targets that [query] may be placed on, or null if not all rates are limited. */
     fun pacedCapacity(query: PlacementQuery): PacedCapacity? {
         val service = query.request.service
-        val open = allowedTargets(query).filter { isOpen(it, service) && it.target.id !in query.excluded }
+        val open = selection.allowed(query).filter { selection.isOpen(it, service) && it.target.id !in query.excluded }
         if (open.isEmpty() || !open.all { allowances.isPaced(it, service) }) return null
         val pacers = open.map { it.target.pacing.pacer }
         return PacedCapacity(
@@ -114,8 +109,8 @@
     /** Describes the availability of the targets to [query], for the log. */
     fun describeAvailability(query: PlacementQuery): String {
         val request = query.request
-        val serving = allowedTargets(query)
-        val usable = usableTargets(serving, request.service)
+        val serving = selection.allowed(query)
+        val usable = selection.usable(serving, request.service)
         val counts = "targets ${serving.size} usable ${usable.size}"
         val prompt = request.prompt ?: return counts
         val candidates = usable.map { candidateOf(it, prompt, request.service) }
@@ -137,35 +132,6 @@
             )
         }
 
-    private fun allowedTargets(query: PlacementQuery): List<ServingTarget> =
-        beginningTargets(
-            pool.serving(query.request.service).filter { query.request.allows(regionOf(it)) && query.allows(it) },
-            query,
-        )
-
-    private fun PlacementQuery.allows(serving: ServingTarget): Boolean =
-        version == null || version == serving.registered.registration.version
-
-    /** Returns the targets of [serving] whose versions may begin streams, if [query] is for a new one. */
-    private fun beginningTargets(serving: List<ServingTarget>, query: PlacementQuery): List<ServingTarget> {
-        val mayBeginAnywhere = query.version != null || query.request.route.kind != RouteKind.STREAMING
-        if (mayBeginAnywhere) return serving
-        val versions = streamMemory.beginningVersions(serving.map { it.registered.registration.serviceVersion })
-        return serving.filter { it.registered.registration.serviceVersion in versions }
-    }
-
-    /**
-     * Returns the targets of [serving] at whose addresses nothing crashed on a suspect of [request]; all if there are
-     * none.
-     *
-     * Crashes at several addresses tell sooner whether the request is their cause or one of the targets is.
-     */
-    private fun preferUnharmed(serving: List<ServingTarget>, request: CallerRequest): List<ServingTarget> {
-        if (!quarantine.hasEvidence) return serving
-        val crashAddresses = quarantine.crashAddresses(request.suspects)
-        return serving.filter { it.registered.registration.address !in crashAddresses }.ifEmpty { serving }
-    }
-
     private fun historyOf(query: PlacementQuery): RequestHistory =
         when {
             query.isInterrupted -> RequestHistory.INTERRUPTED
@@ -194,29 +160,6 @@
             history,
         )
 
-    private fun usableTargets(serving: List<ServingTarget>, service: ServiceSettings): List<ServingTarget> {
-        val withCapacity = serving.filter { hasCapacity(it, service) }
-        val healthy = withCapacity.filter { isHealthy(it) }
-        return healthy.ifEmpty { if (serving.none { isSound(it) }) withCapacity else healthy }
-    }
-
-    private fun isSound(serving: ServingTarget) = serving.target.health.condition == TargetCondition.SOUND
-
-    private fun isHealthy(serving: ServingTarget): Boolean =
-        when (serving.target.health.condition) {
-            TargetCondition.SOUND -> true
-            TargetCondition.ON_TRIAL -> serving.target.load.requests == 0
-            TargetCondition.SUSPECTED -> false
-        }
-
-    private fun isOpen(serving: ServingTarget, service: ServiceSettings): Boolean =
-        allowances.hasConnection(serving, service) &&
-            isHealthy(serving) &&
-            allowances.backoffMilliseconds(serving.target) == 0L
-
-    private fun hasCapacity(serving: ServingTarget, service: ServiceSettings): Boolean =
-        allowances.hasConnection(serving, service) && allowances.maySend(serving, service)
-
     private fun candidateOf(serving: ServingTarget, prompt: PromptProfile?, service: ServiceSettings): Candidate {
         val target = serving.target
         return Candidate(
