Save the versions of targets again after the store has returned to an earlier copy

While a single version serves they were written once; a store that returned to a copy from before that write did not get them again, so that a gateway which then started could take a replaced version's streams for the new one's (found by reading, not seen in a run). The saved state includes the store's era. StoreRestoreTest checks it; it was not run on the code before.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -130,7 +130,7 @@
 
     /** Saves [streamMemory] to the store. */
     val streamSaver =
-        StreamSaver(streamMemory, StreamTable(store), fleet, settings.instanceId, clock, EpochClock, log)
+        StreamSaver(streamMemory, StreamTable(store), fleet, settings.instanceId, clock, EpochClock, ::storeEra, log)
     val answerMemory = AnswerMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS)
     private val runnerDependencies =
         RunnerDependencies(
@@ -185,6 +185,9 @@
     /** Returns whether enough other members of the failure domain are ready to take the callers of this process. */
     fun isSpared(): Boolean = fleet.canReplaceSelf(FailureDomainId(settings.failureDomain))
 
+    /** Returns the highest era of the store that this process knows of; null before it has read any table. */
+    fun storeEra(): Long? = tableCopies.values.mapNotNull { it.version?.era }.maxOrNull()
+
     /** Forgets the targets that are neither registered nor in use. */
     fun cleanUp() {
         pool.cleanUp()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/Membership.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/Membership.kt
@@ -21,7 +21,7 @@
         val address = TargetAddress(components.settings.address, components.settings.memberPort)
         val self = MemberRegistration(components.settings.instanceId, Incarnation(incarnation), address)
         while (true) {
-            val era = currentEra()
+            val era = components.storeEra()
             while (table.register(self).isErr) delay(REGISTER_RETRY_MILLISECONDS)
             readUntilRestored(era)
             delay(Random.nextLong(MAX_REGISTER_DELAY_MILLISECONDS))
@@ -35,19 +35,13 @@
             table.read().onSuccess { applyRegistrations(it) }
             repeat(ERA_CHECKS_PER_READ) {
                 delay(ERA_CHECK_PERIOD_MILLISECONDS)
-                val current = currentEra()
+                val current = components.storeEra()
                 if (registeredEra != null && current != null && current > registeredEra) return
                 registeredEra = registeredEra ?: current
             }
         }
     }
 
-    /** Returns the highest era of the store that this process knows of; null before it has read any table. */
-    private fun currentEra(): Long? =
-        components.tableCopies.values
-            .mapNotNull { it.version?.era }
-            .maxOrNull()
-
     private suspend fun applyRegistrations(registered: List<MemberRegistration>) {
         registered.forEach { components.fleet.recordRegistration(it.instance, it.incarnation.value, it.address) }
         if (components.fleet.readerRank() == 0) registered.filter { isExpired(it) }.forEach { remove(it) }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestEnding.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestEnding.kt
@@ -57,11 +57,7 @@
 
     /** Ends the request for the reason that [unplaced] gives, without a further attempt. */
     fun endUnplaced(unplaced: Unplaced) {
-        if (progress.detail ==
-            null
-        ) {
-            progress.detail = dependencies.placer.describeAvailability(progress.queryFor(request))
-        }
+        progress.detail = progress.detail ?: dependencies.placer.describeAvailability(progress.queryFor(request))
         val failure = progress.failure
         when {
             !progress.mayHaveRun -> refuse(refusalOf(unplaced), unplaced.returnMilliseconds)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamMemory.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamMemory.kt
@@ -13,8 +13,8 @@
 /**
  * What this process knows of the software versions that began streams; confined to the event loop.
  *
- * While a service has had a single version, that one began all its streams, and no record of them is needed. Otherwise the origin of each stream is shared
- * with the other members and saved to the store.
+ * While a service has had a single version, that one began all its streams, and no record of them is needed. Otherwise the
+ * origin of each stream is shared with the other members and saved to the store.
  *
  * @param retentionMilliseconds returns how long a stream can be resumed after its version was last seen.
  * @param registrationsAgeMilliseconds returns the age of the copy of the registrations; null if there is none.
--- a/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamSaver.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamSaver.kt
@@ -21,6 +21,7 @@
  * One member of each region saves what all have told each other: the versions when they change, and while several may have
  * begun streams of a service, each second with those streams.
  *
+ * @param storeEra returns the highest era of the store that this process knows of, which tells whether it was restored.
  * @param epochClock the time of day, by which a process can tell the age of what an earlier one saved.
  */
 internal class StreamSaver(
@@ -30,9 +31,16 @@
     private val self: InstanceId,
     private val clock: Clock,
     private val epochClock: Clock,
+    private val storeEra: () -> Long?,
     private val log: EventLog,
 ) {
-    private var savedVersions = emptyMap<ServiceVersion, Boolean>()
+    /** What was last saved of the versions, by whether targets of each were registered, and the store's era then. */
+    private class SavedState(
+        val areRegistered: Map<ServiceVersion, Boolean>,
+        val era: Long?,
+    )
+
+    private var lastSaved = SavedState(emptyMap(), era = null)
     private var hasRestored = false
     private var hasFailed = false
     private var mayRepeatAtMilliseconds = Long.MIN_VALUE
@@ -86,6 +94,7 @@
         if (fleet.readerRank() != 0) return
         val streams = memory.origins.newest(services, MAX_SAVED_STREAMS)
         val now = clock.nowMilliseconds()
+        val era = storeEra()
         val saved =
             SavedStreams(
                 epochClock.nowMilliseconds(),
@@ -96,15 +105,17 @@
             )
         records
             .write(self, saved)
-            .onSuccess { savedVersions = areRegistered }
+            .onSuccess { lastSaved = SavedState(areRegistered, era) }
             .onFailure { log.write("streams-not-saved", "detail" to it.detail) }
             .also { hasFailed = it.isErr }
         mayRepeatAtMilliseconds = clock.nowMilliseconds() + PERIOD_MILLISECONDS
     }
 
-    /** Returns whether other versions are registered than were saved, unless the store refused them just now. */
-    private fun isChanged(areRegistered: Map<ServiceVersion, Boolean>): Boolean =
-        areRegistered != savedVersions && (!hasFailed || clock.nowMilliseconds() >= mayRepeatAtMilliseconds)
+    /** Returns whether the store may not have the versions that are registered, unless a write failed just now. */
+    private fun isChanged(areRegistered: Map<ServiceVersion, Boolean>): Boolean {
+        val isSaved = areRegistered == lastSaved.areRegistered && storeEra() == lastSaved.era
+        return !isSaved && (!hasFailed || clock.nowMilliseconds() >= mayRepeatAtMilliseconds)
+    }
 
     private companion object {
         const val CHECK_MILLISECONDS = 200L
--- a/gateway/src/test/kotlin/toucanrelay/gateway/StoreRestoreTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/StoreRestoreTest.kt
@@ -72,6 +72,14 @@
                 fixture.targets[0].receivedRequests.size shouldBe 0
             }
 
+            it("has the versions of targets written again that were in service since") {
+                fixture.eventually { fixture.store.value("streams", "gateway-1") != null }
+                fixture.store.put("streams", "gateway-1", null)
+                fixture.store.backUp()
+                fixture.store.restore()
+                fixture.eventually { fixture.store.value("streams", "gateway-1") != null }
+            }
+
             it("has the gateway's own registration written again") {
                 fixture.store.put("members", "gateway-1", null)
                 fixture.store.backUp()
--- a/gateway/src/test/kotlin/toucanrelay/gateway/stream/SimulatedStreamGateway.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/stream/SimulatedStreamGateway.kt
@@ -63,7 +63,7 @@
     private val exchange = StreamOriginExchange(memory, clock)
     private val fleet = FleetView(instance, null, clock) { null }
     private val log = EventLog(clock, isWritten = false)
-    private val saver = StreamSaver(memory, records, fleet, instance, clock, clock, log)
+    private val saver = StreamSaver(memory, records, fleet, instance, clock, clock, { 0 }, log)
     private val takeUps = TakeUps(memory) { }
     private var sequence = 0L
 
