--- a/review/standins-2/StreamCaller.java
+++ b/review/standins-2/StreamCaller.java
@@ -46,7 +46,7 @@
             String more = "X-Key: k1\r\nX-Model: m\r\nX-Token-Counts: 700,240\r\nX-Prompt-Prefix: aa:200,b" + name.substring(1) + "0:500\r\n";
             if (firstId != null) more += "Last-Event-Id: " + lastEvent + "\r\nResumes: " + firstId + "\r\n";
             record.add("sent " + id + (firstId == null ? "" : " resumes " + firstId + " after event " + lastEvent));
-            Http.write(caller.socket().getOutputStream(), Caller.head("POST", path, id, remaining, more, 2) + "{}");
+            Http.write(caller.socket().getOutputStream(), Caller.head("POST", path, id, remaining, more, name.length()) + name);
             Http.Head head = Http.readHead(caller.in());
             if (head == null) throw new IOException("connection closed without an answer");
             if (head.status() != 200) {
--- a/review/standins-2/StreamWorker.java
+++ b/review/standins-2/StreamWorker.java
@@ -9,7 +9,12 @@
     volatile boolean isLeaving;
 
     StreamWorker(String id, String service, String version, String zone, Store store, Record record) throws IOException {
-        super(id, service, zone, store, record, 0);
+        this(id, service, version, zone, store, record, 0);
+    }
+
+    StreamWorker(String id, String service, String version, String zone, Store store, Record record, int port)
+        throws IOException {
+        super(id, service, zone, store, record, port);
         this.version = version;
     }
 
