Derive the version of an unknown stream only from registrations read after its take-up

Cause: TakeUps.derive concluded from a copy of the registrations that is up to 2 s old that no other version exists. Two gateways read at different moments, so a bound on the copy's age proves nothing.

The simulation had replaced targets in an instant and let all gateways read at the same moment; it was extended until it failed.

Fix: a reading of the store that began after the take-up arrived is the proof, since the version that began the stream was registered before and readings are linearizable. Take-ups that wait at the same time share it. If it fails, takes over a second, or the store may lack registrations, the take-up is refused with versions-not-read and a time to return. A registration that came and went unseen makes versions unknown for as long as a stream of it can be resumed.

--- a/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
+++ b/core/src/main/kotlin/toucanrelay/core/target/TargetRegistry.kt
@@ -39,6 +39,10 @@
         val excludedDomains: Set<FailureDomainId>,
     )
 
+    /** Whether registrations may have expired while the store was unavailable and not be renewed yet. */
+    public val mayMissRegistrations: Boolean
+        get() = mayHaveExpired(clock.nowMilliseconds())
+
     /** Returns all targets that may still exist, including leaving ones. */
     public fun currentTargets(): ImmutableMap<TargetId, RegisteredTarget> {
         if (pendingRemovals > 0) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -106,7 +106,7 @@
     private val followedTables =
         listOf(
             FollowedOperators(configurations, pool, log) { admission.wake() },
-            FollowedTargets(targets, log) { admission.wake() },
+            FollowedTargets(targets, log, streamMemory::recordMissedVersions) { admission.wake() },
         )
 
     /** Copies of the store's tables, by the table names that members use among themselves. */
@@ -124,9 +124,11 @@
                     fleet,
                     ageClock,
                     log,
+                    scope,
                 )
             }
         }
+    private val registrationFollower = followers[followedTables.indexOfFirst { it is FollowedTargets }]
 
     /** Saves [streamMemory] to the store. */
     val streamSaver =
@@ -142,7 +144,7 @@
             organisationUsage = organisationUsage,
             serviceDemand = serviceDemand,
             statements = TargetStatements(statedLimits, leavingStatements, backoffs),
-            takeUps = TakeUps(streamMemory) { meters.takeUps(it).increment() },
+            takeUps = TakeUps(streamMemory, ::knowsRegistrations) { meters.takeUps(it).increment() },
             answerMemory = answerMemory,
             shutdown = shutdown,
             routeDurations = routeDurations,
@@ -185,6 +187,9 @@
     /** Returns whether enough other members of the failure domain are ready to take the callers of this process. */
     fun isSpared(): Boolean = fleet.canReplaceSelf(FailureDomainId(settings.failureDomain))
 
+    /** Reads the registrations of targets, and returns whether none that may be in service is missing. */
+    private suspend fun knowsRegistrations(): Boolean = registrationFollower.refresh() && !targets.mayMissRegistrations
+
     /** Returns the highest era of the store that this process knows of; null before it has read any table. */
     fun storeEra(): Long? = tableCopies.values.mapNotNull { it.version?.era }.maxOrNull()
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestRunner.kt
@@ -35,13 +35,17 @@
         request.prompt?.let { dependencies.organisationUsage.recordDemand(request.usageKey, it.chargedTokens) }
         val remaining =
             request.deadlineAtMilliseconds - dependencies.clock.nowMilliseconds() - ANSWER_MARGIN_MILLISECONDS
+        val isDone = withTimeoutOrNull(maxOf(1, remaining)) { decideAndServe() }
+        if (isDone == null) ending.endAtTimeout()
+    }
+
+    private suspend fun decideAndServe() {
         when (val takeUp = dependencies.takeUps.decide(request)) {
             TakeUp.None -> Unit
             is TakeUp.Continue -> recordTakeUp(takeUp)
             is TakeUp.Refuse -> return refuseTakeUp(takeUp)
         }
-        val isDone = withTimeoutOrNull(maxOf(1, remaining)) { attemptUntilAnswered() }
-        if (isDone == null) ending.endAtTimeout()
+        attemptUntilAnswered()
     }
 
     override fun logEnd(outcome: String) = ending.log(outcome)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
@@ -28,6 +28,8 @@
 
     override fun recordOutageEnd(agoMilliseconds: Long) = Unit
 
+    override fun recordMissedRows() = Unit
+
     private fun applyConfiguration(entry: OperatorEntry.NewConfiguration) {
         val configuration = entry.configuration
         val isNewer = register.offer(configuration)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTable.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTable.kt
@@ -16,4 +16,7 @@
 
     /** Records that an outage of the store ended [agoMilliseconds] ago. */
     fun recordOutageEnd(agoMilliseconds: Long)
+
+    /** Records that rows may have been written and deleted again which this process has not seen. */
+    fun recordMissedRows()
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedTargets.kt
@@ -6,10 +6,15 @@
 import toucanrelay.platform.RegistrationChange
 import toucanrelay.platform.TargetTable
 
-/** Applies the registrations of targets. */
+/**
+ * Applies the registrations of targets.
+ *
+ * @param onMissed called when targets may have been registered and removed again unseen.
+ */
 internal class FollowedTargets(
     private val registry: TargetRegistry,
     private val log: EventLog,
+    private val onMissed: () -> Unit,
     private val onChange: () -> Unit,
 ) : FollowedTable {
     override val name = NAME
@@ -35,6 +40,11 @@
         registry.recordOutageEnd(agoMilliseconds)
     }
 
+    override fun recordMissedRows() {
+        log.write("registrations-missed")
+        onMissed()
+    }
+
     private fun applyChanges(entries: List<RegistrationChange>) {
         entries.forEach { change ->
             when (change) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopy.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopy.kt
@@ -47,6 +47,14 @@
         return true
     }
 
+    /** Returns whether rows may have been written and deleted again between what the copy has and [update]. */
+    fun mayHaveMissedRows(update: TableUpdate): Boolean =
+        when {
+            version == null -> false
+            update.isWhole -> update.confirmedAtMilliseconds - confirmedAtMilliseconds > MIN_ROW_LIFETIME_MILLISECONDS
+            else -> update.rows.any { it.value == null && it.key !in rows }
+        }
+
     /** Records that an outage of the store ended [agoMilliseconds] ago. */
     fun recordOutageEnd(agoMilliseconds: Long) {
         val endedAt = clock.nowMilliseconds() - agoMilliseconds
@@ -80,5 +88,8 @@
 
     private companion object {
         const val MAX_DELETED_ROWS = 500
+
+        /** A target that leaves serves for longer, and the registration of one that crashes expires after longer. */
+        const val MIN_ROW_LIFETIME_MILLISECONDS = 2_000L
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableFollower.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableFollower.kt
@@ -1,8 +1,9 @@
 package toucanrelay.gateway.follow
 
-import com.github.michaelbull.result.map
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import toucanrelay.core.following.RefreshAction
 import toucanrelay.core.following.RefreshPolicy
@@ -26,11 +27,13 @@
     private val fleet: FleetView,
     private val clock: Clock,
     private val log: EventLog,
+    scope: CoroutineScope,
 ) {
     private var storeLostAtMilliseconds: Long? = null
     private var failures = 0
     private var lastStoreCallAtMilliseconds: Long? = null
     private val restore = RestoreSettling(clock)
+    private val sharedRead = SharedRead(scope) { readStore() }
 
     /** Whether the copy has rows that could not be applied to the process's state. */
     private var isBehind = false
@@ -52,6 +55,12 @@
         }
     }
 
+    /**
+     * Reads the store, however recent the copy is, and returns whether the process's state has all rows of a moment after
+     * the call.
+     */
+    suspend fun refresh(): Boolean = sharedRead.await()
+
     private fun refreshState(offer: TableOffer?) =
         RefreshState(
             ownAgeMilliseconds = copy.ageMilliseconds,
@@ -62,30 +71,35 @@
             isUrgent = table.isUrgent,
         )
 
-    /** Reads the changes after version [after], or all rows if [after] is null or older than the store's history. */
-    private suspend fun readStore(after: StoreVersion? = copy.version) {
+    /**
+     * Reads the changes after version [after], or all rows if [after] is null or older than the store's history.
+     *
+     * Returns whether the process's state has all rows that the store had then.
+     */
+    private suspend fun readStore(after: StoreVersion? = copy.version): Boolean {
         val requestedAt = clock.nowMilliseconds()
         val answer =
             if (after == null) store.rows(table.nameInStore) else store.changes(table.nameInStore, after)
         lastStoreCallAtMilliseconds = clock.nowMilliseconds()
-        answer
-            .map {
-                TableUpdate(
-                    it.rows,
-                    it.version,
-                    isWhole = after == null,
-                    requestedAt,
-                    outageEndedMillisecondsAgo = null,
-                )
-            }.onSuccess { applyFromStore(it) }
-            .onFailure { error ->
-                if (error == StoreError.HistoryGone && after != null) {
-                    log.write("store-history-gone", "table" to table.name, "version" to after)
-                    readStore(after = null)
-                } else {
+        val read =
+            answer.getOrElse { error ->
+                if (error != StoreError.HistoryGone || after == null) {
                     recordFailure(error, requestedAt)
+                    return false
                 }
+                log.write("store-history-gone", "table" to table.name, "version" to after)
+                return readStore(after = null)
             }
+        applyFromStore(
+            TableUpdate(
+                read.rows,
+                read.version,
+                isWhole = after == null,
+                requestedAt,
+                outageEndedMillisecondsAgo = null,
+            ),
+        )
+        return !restore.isSettling
     }
 
     private fun applyFromStore(update: TableUpdate) {
@@ -131,7 +145,9 @@
     /** Applies [update] and returns true, or returns false if the copy is newer. */
     private fun apply(update: TableUpdate): Boolean {
         val previous = copy.version
+        val mayHaveMissedRows = copy.mayHaveMissedRows(update)
         if (!copy.apply(update)) return false
+        if (mayHaveMissedRows) table.recordMissedRows()
         if (previous != null && update.version.era > previous.era) recordRestore(previous, update)
         when {
             isBehind && !restore.isSettling -> applyCopy()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
@@ -33,7 +33,7 @@
     /** No target that may serve the request exists. */
     NO_TARGET("no-target", 503, true),
 
-    /** This process does not know yet which versions of targets were in service before it started. */
+    /** This process could not read yet which versions of targets are in service, or were before it started. */
     VERSIONS_NOT_READ("versions-not-read", 503, true),
 
     /** Several versions of targets may have begun the stream that the request resumes; only its own may continue it. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamMemory.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamMemory.kt
@@ -22,11 +22,12 @@
 internal class StreamMemory(
     private val clock: Clock,
     private val registry: TargetRegistry,
-    retentionMilliseconds: () -> Long,
+    private val retentionMilliseconds: () -> Long,
     private val registrationsAgeMilliseconds: () -> Long?,
 ) {
     private val history = VersionHistory(clock, retentionMilliseconds)
     private val sharedSinceMilliseconds = HashMap<String, Long>()
+    private var missesVersionsUntilMilliseconds = Long.MIN_VALUE
 
     /** The known origins of streams. */
     val origins = StreamOrigins(clock)
@@ -35,15 +36,20 @@
     var isRestored: Boolean = false
         private set
 
-    /** Whether versions may be in service that this process has not heard of. */
-    val isOutdated: Boolean
-        get() = (registrationsAgeMilliseconds() ?: Long.MAX_VALUE) > MAX_REGISTRATIONS_AGE_MILLISECONDS
+    /** Whether versions may have begun streams that this process has never seen registered. */
+    val mayMissVersions: Boolean
+        get() = clock.nowMilliseconds() < missesVersionsUntilMilliseconds
 
     /** Records that this process knows the versions that were in service before it started. */
     fun recordRestored() {
         isRestored = true
     }
 
+    /** Records that targets may have been registered and removed again that this process has not seen. */
+    fun recordMissedVersions() {
+        missesVersionsUntilMilliseconds = clock.nowMilliseconds() + retentionMilliseconds()
+    }
+
     /** Records that targets of [version] were last registered [agoMilliseconds] ago, and first [ageMilliseconds] ago. */
     fun recordVersion(version: ServiceVersion, agoMilliseconds: Long, ageMilliseconds: Long) {
         history.record(version, agoMilliseconds, ageMilliseconds)
@@ -79,7 +85,7 @@
     /**
      * Returns those of [versions] that may begin streams: not the ones that are new, unless there are no others.
      *
-     * A version is new until every member whose registrations are recent enough to derive versions from them knows it.
+     * A version is new until a member has had the time to save it, so that all processes that start know of it.
      *
      * @param versions the versions of the targets that could begin a stream.
      */
@@ -118,8 +124,7 @@
         get() = (registrationsAgeMilliseconds() ?: 0) > AGEING_REGISTRATIONS_MILLISECONDS
 
     private companion object {
-        const val MAX_REGISTRATIONS_AGE_MILLISECONDS = 2_000L
-        const val SETTLING_MILLISECONDS = MAX_REGISTRATIONS_AGE_MILLISECONDS + 500L
+        const val SETTLING_MILLISECONDS = 2_500L
         const val AGEING_REGISTRATIONS_MILLISECONDS = 1_500L
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/stream/TakeUps.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/stream/TakeUps.kt
@@ -1,5 +1,6 @@
 package toucanrelay.gateway.stream
 
+import kotlinx.coroutines.withTimeoutOrNull
 import toucanrelay.core.configuration.RouteKind
 import toucanrelay.core.identity.SoftwareVersion
 import toucanrelay.core.stream.OriginSource
@@ -8,15 +9,21 @@
 import toucanrelay.gateway.http.CallerRequest
 import toucanrelay.gateway.http.Refusal
 
-/** Decides which version continues the streams that callers resume, and records which one begins new ones. */
+/**
+ * Decides which version continues the streams that callers resume, and records which one begins new ones.
+ *
+ * Of a stream of which nothing is known, the version is derived only from registrations that were read after its caller
+ * resumed it: an older copy may lack the version that began it at another member a moment ago.
+ */
 internal class TakeUps(
     private val memory: StreamMemory,
+    private val registrations: RegistrationRefresh,
     private val onTakeUp: (VersionSource) -> Unit,
 ) {
     /** Returns at which version [request] can be served. */
-    fun decide(request: CallerRequest): TakeUp {
+    suspend fun decide(request: CallerRequest): TakeUp {
         if (!isTakeUp(request)) return TakeUp.None
-        val decision = knownOrigin(request) ?: derive(request.service.name)
+        val decision = knownOrigin(request) ?: derive(request)
         onTakeUp(if (decision is TakeUp.Continue) decision.source else VersionSource.UNKNOWN)
         return decision
     }
@@ -41,17 +48,25 @@
     }
 
     /** Derives the version of a stream of which nothing is known from the versions of [service]. */
-    private fun derive(service: String): TakeUp {
+    private suspend fun derive(request: CallerRequest): TakeUp {
+        if (!memory.isRestored) return TakeUp.Refuse(Refusal.VERSIONS_NOT_READ, "earlier versions are not read")
+        val service = request.service.name
+        refusalOf(memory.versionsOf(service))?.let { return it }
+        val isCurrent = withTimeoutOrNull(MAX_REFRESH_MILLISECONDS) { registrations.refresh() } ?: false
+        knownOrigin(request)?.let { return it }
+        if (!isCurrent) return TakeUp.Refuse(Refusal.VERSIONS_NOT_READ, "present versions are not read")
         val versions = memory.versionsOf(service)
-        val only = versions.singleOrNull()
-        return when {
-            !memory.isRestored -> TakeUp.Refuse(Refusal.VERSIONS_NOT_READ, "earlier versions are not read")
+        return refusalOf(versions) ?: TakeUp.Continue(versions.single(), VersionSource.ONLY_VERSION, null)
+    }
+
+    /** Returns why no version can be derived from [versions], all that are known of a service; null if one can be. */
+    private fun refusalOf(versions: Set<SoftwareVersion>): TakeUp.Refuse? =
+        when {
             versions.isEmpty() -> TakeUp.Refuse(Refusal.NO_TARGET, "no versions")
-            only == null -> TakeUp.Refuse(Refusal.VERSION_UNKNOWN, "versions ${versions.joinToString(" ")}")
-            memory.isOutdated -> TakeUp.Refuse(Refusal.VERSION_UNKNOWN, "registrations are outdated")
-            else -> TakeUp.Continue(only, VersionSource.ONLY_VERSION, ageMilliseconds = null)
+            versions.size > 1 -> TakeUp.Refuse(Refusal.VERSION_UNKNOWN, "versions ${versions.joinToString(" ")}")
+            memory.mayMissVersions -> TakeUp.Refuse(Refusal.VERSION_UNKNOWN, "versions may have been missed")
+            else -> null
         }
-    }
 
     private fun sourceOf(source: OriginSource): VersionSource =
         when (source) {
@@ -61,6 +76,9 @@
         }
 
     private companion object {
+        /** Leaves a caller the time to ask another member, which may reach the store. */
+        const val MAX_REFRESH_MILLISECONDS = 1_000L
+
         /** Time that a caller's last request may take on its way. */
         const val DEADLINE_MARGIN_MILLISECONDS = 1_000L
     }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/JoinedVersionsTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/JoinedVersionsTest.kt
@@ -5,8 +5,11 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
 import toucanrelay.platform.standin.ReceivedResponse
 
 private const val STREAMS = 20
@@ -17,8 +20,8 @@
     DescribeSpec({
         lateinit var fixture: VersionedFleetFixture
 
-        suspend fun start(versions: List<String> = MIXED_VERSIONS, gateways: Int = 1) {
-            fixture = VersionedFleetFixture(versions)
+        suspend fun start(versions: List<String> = MIXED_VERSIONS, gateways: Int = 1, joining: String? = null) {
+            fixture = VersionedFleetFixture(versions, joining)
             fixture.start(gateways)
         }
 
@@ -125,6 +128,26 @@
             }
         }
 
+        // Guards against a version derived from registrations that lack the one that has begun streams elsewhere.
+        describe("a stream that its caller takes up at a gateway that knows a single version") {
+            it("is refused for good if another version is registered by then") {
+                start(listOf("v1", "v2"), joining = "v2")
+                fixture.join("v2")
+                shouldBeRefused(fixture.takeUp(BrokenStream("begun-elsewhere", 3, emptySet())))
+            }
+
+            it("is refused for now while the registrations cannot be read") {
+                start(listOf("v1"))
+                val unknown = BrokenStream("begun-elsewhere", 3, emptySet())
+                fixture.setStoreAway(true)
+                val refused = fixture.takeUp(unknown)
+                refused.status shouldBe 503
+                refused.headers["retry-after"].shouldNotBeNull()
+                fixture.setStoreAway(false)
+                withTimeout(TIMEOUT_MILLISECONDS) { while (fixture.takeUp(unknown).status != 200) delay(50) }
+            }
+        }
+
         describe("a stream that its caller takes up again while one version serves") {
             it("goes on, also at a gateway that has started since and knows nothing of it") {
                 start(listOf("v1", "v1"))
--- a/gateway/src/test/kotlin/toucanrelay/gateway/VersionedFleetFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/VersionedFleetFixture.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.withContext
 import toucanrelay.platform.standin.ReceivedRequest
 import toucanrelay.platform.standin.ReceivedResponse
+import toucanrelay.platform.standin.StoreBehaviour
 import toucanrelay.platform.standin.StreamTakeUp
 import toucanrelay.platform.standin.TargetScript
 import toucanrelay.platform.standin.TargetStandIn
@@ -23,9 +24,11 @@
  * A target cuts each new stream off after [EVENTS_BEFORE_BREAK] events, and completes one that goes on.
  *
  * @param versions the version of each target.
+ * @param joining version of the targets that are registered only by [join].
  */
 internal class VersionedFleetFixture(
     private val versions: List<String>,
+    private val joining: String? = null,
 ) {
     private val fleet = GatewayFleetFixture(versions.size)
 
@@ -42,6 +45,7 @@
             route("/calls/", GatewayFleetFixture.SERVICE, "idempotent")
             service(GatewayFleetFixture.SERVICE, engineMemoryTokens = ENGINE_MEMORY_TOKENS)
         }
+        joining?.let { withdraw(it) }
         repeat(gateways) { startGateway() }
         if (versions.distinct().size > 1) delay(SETTLED_MILLISECONDS)
         forgetReceived()
@@ -64,6 +68,14 @@
         targets.filter { it.version == version }.forEach { fleet.store.putRegistration(it.id, null) }
     }
 
+    /** Registers all targets of [version]. */
+    fun join(version: String) = targets.filter { it.version == version }.forEach { fleet.register(it) }
+
+    /** Makes the store refuse all calls, or serve them again. */
+    fun setStoreAway(isAway: Boolean) {
+        fleet.store.behaviour = if (isAway) StoreBehaviour.REFUSE else StoreBehaviour.SERVE
+    }
+
     /** Sends a request for a stream that may be continued within its answer; returns the answer as it arrived. */
     suspend fun stream(gateway: Int = 0): RawStream =
         withContext(Dispatchers.IO) { RawStreamCaller.send(fleet.portOf(gateway), "/streams/x") }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/follow/FollowedTargetsTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/follow/FollowedTargetsTest.kt
@@ -20,7 +20,7 @@
     clock: ManualClock,
 ) {
     val registry = TargetRegistry(clock, GRACE_MILLISECONDS)
-    private val table = FollowedTargets(registry, EventLog(clock, isWritten = false)) { }
+    private val table = FollowedTargets(registry, EventLog(clock, isWritten = false), onMissed = { }) { }
 
     fun apply(rows: List<StoreRow>, isWhole: Boolean) =
         table.apply(TableChange(rows, isWhole, confirmedAtMilliseconds = 0))
--- a/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableCopyTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableCopyTest.kt
@@ -52,6 +52,17 @@
                 }
             }
 
+            it("tells whether rows may have come and gone between two updates") {
+                val copy = TableCopy(ManualClock())
+                val first = update(10, row("a", 3), isWhole = true)
+                copy.mayHaveMissedRows(first) shouldBe false
+                copy.apply(first)
+                copy.mayHaveMissedRows(update(20, deleted("a", 15), row("b", 18))) shouldBe false
+                copy.mayHaveMissedRows(update(20, deleted("b", 15))) shouldBe true
+                copy.mayHaveMissedRows(update(20, isWhole = true, at = 2_000)) shouldBe false
+                copy.mayHaveMissedRows(update(20, isWhole = true, at = 2_001)) shouldBe true
+            }
+
             it("rejects an older version, which does not confirm it either") {
                 val clock = ManualClock()
                 val copy = TableCopy(clock)
--- a/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableFollowerTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/follow/TableFollowerTest.kt
@@ -86,6 +86,8 @@
     }
 
     override fun recordOutageEnd(agoMilliseconds: Long) = Unit
+
+    override fun recordMissedRows() = Unit
 }
 
 private class RecordedTable : FollowedTable {
@@ -104,6 +106,8 @@
     override fun recordOutageEnd(agoMilliseconds: Long) {
         outageEndedMillisecondsAgo = agoMilliseconds
     }
+
+    override fun recordMissedRows() = Unit
 }
 
 class TableFollowerTest :
@@ -129,7 +133,7 @@
                 val table = RecordedTable()
                 val copy = TableCopy(clock)
                 val client = TableCopyClient(vertx, clock)
-                val follower = TableFollower(table, copy, store, client, fleet, clock, EventLog(clock))
+                val follower = TableFollower(table, copy, store, client, fleet, clock, EventLog(clock), scope)
                 val running = scope.launch { follower.run() }
                 withTimeout(TIMEOUT_MILLISECONDS) { while (copy.version == null) delay(10) }
                 check(table, copy)
@@ -165,7 +169,7 @@
                         val table = FailingTable("key-2", failure)
                         val members = TableCopyClient(vertx, clock)
                         val follower =
-                            TableFollower(table, TableCopy(clock), GrowingStore(), members, fleet, clock, log)
+                            TableFollower(table, TableCopy(clock), GrowingStore(), members, fleet, clock, log, scope)
                         val failed = mutableListOf<String>()
                         val supervisor = TaskSupervisor(scope, clock, log) { failed += it }
                         val running = supervisor.launch(follower.taskName) { follower.run() }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/stream/SimulatedStreamGateway.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/stream/SimulatedStreamGateway.kt
@@ -16,6 +16,7 @@
 import toucanrelay.core.configuration.ServiceSettings
 import toucanrelay.core.configuration.WeightedService
 import toucanrelay.core.identity.InstanceId
+import toucanrelay.core.identity.TargetId
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.target.TargetRegistration
 import toucanrelay.core.target.TargetRegistry
@@ -44,9 +45,10 @@
         if (isAway) Err(StoreError.Unreachable("away")) else Ok(saved.values.toList())
 }
 
-/** Registrations, and when they were read from the store. */
+/** Registrations, the targets whose registrations were removed, and when they were read from the store. */
 internal class RegistrationView(
     val registrations: List<TargetRegistration>,
+    val removed: Set<TargetId>,
     val readAtMilliseconds: Long,
 )
 
@@ -56,6 +58,7 @@
     private val incarnation: Long,
     private val clock: ManualClock,
     records: StreamRecords,
+    registrations: RegistrationRefresh,
 ) {
     private val instance = InstanceId(name)
     private val registry = TargetRegistry(clock, expiryGraceMilliseconds = 0)
@@ -64,7 +67,7 @@
     private val fleet = FleetView(instance, null, clock) { null }
     private val log = EventLog(clock, isWritten = false)
     private val saver = StreamSaver(memory, records, fleet, instance, clock, clock, { 0 }, log)
-    private val takeUps = TakeUps(memory) { }
+    private val takeUps = TakeUps(memory, registrations) { }
     private var sequence = 0L
 
     /** The registrations that this gateway goes by; null before it has any. */
@@ -86,11 +89,18 @@
 
     /** Goes by [newer] unless it is older than what this gateway knows. */
     fun apply(newer: RegistrationView) {
-        if (newer.readAtMilliseconds <= (view?.readAtMilliseconds ?: -1)) return
+        val known = view
+        if (known != null && newer.readAtMilliseconds <= known.readAtMilliseconds) return
+        if (known != null && hasMissed(known, newer)) memory.recordMissedVersions()
         view = newer
         registry.replaceAll(newer.registrations)
     }
 
+    private fun hasMissed(known: RegistrationView, newer: RegistrationView): Boolean {
+        val knownIds = known.registrations.mapTo(HashSet()) { it.id }
+        return (newer.removed - known.removed).any { it !in knownIds }
+    }
+
     /** Returns the next digest for the other gateways. */
     fun digest() =
         MemberDigest(
@@ -112,7 +122,7 @@
     }
 
     /** Decides on [stream], which a caller resumes. */
-    fun decide(stream: SimulatedStream): TakeUp = takeUps.decide(requestFor(stream, isTakeUp = true))
+    suspend fun decide(stream: SimulatedStream): TakeUp = takeUps.decide(requestFor(stream, isTakeUp = true))
 
     /** Records that [target] writes events of [stream]. */
     fun recordEvent(stream: SimulatedStream, target: TargetRegistration, isTakeUp: Boolean) {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/stream/StreamVersionSimulation.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/stream/StreamVersionSimulation.kt
@@ -29,7 +29,9 @@
 /**
  * Gateways that begin and continue streams at targets of versions that come and go, while [faults] happen.
  *
- * Digests are lost at times. A target that has left no longer serves, and each run of a target has an id of its own.
+ * Digests are lost at times, and each gateway reads the registrations at moments of its own. A target that is replaced
+ * is registered as leaving and serves on for a while, as do its streams. At times a target of another version joins, and
+ * crashes soon. Each run of a target has an id of its own.
  */
 internal class StreamVersionSimulation(
     seed: Int,
@@ -37,6 +39,7 @@
 ) {
     private class Slot(
         var gateway: SimulatedStreamGateway?,
+        val refreshStep: Long,
     ) {
         var downUntil = 0L
         var cutFromStoreUntil = 0L
@@ -49,7 +52,9 @@
     private var identifiers = 0L
     private var newestVersion = 1
     private var registered = List(TARGETS) { newTarget() }
-    private val slots = List(GATEWAYS) { Slot(start(it)) }
+    private var removed = setOf<TargetId>()
+    private val endsAtMilliseconds = HashMap<TargetId, Long>()
+    private val slots = List(GATEWAYS) { Slot(start(it), random.nextLong(REFRESH_STEPS)) }
     private var streams = listOf<SimulatedStream>()
     private var storeAwayUntil = 0L
 
@@ -74,8 +79,9 @@
             clock.advance(STEP_MILLISECONDS)
             records.isAway = now < storeAwayUntil
             restartSlots()
+            endTargets()
             if (step >= LEAD_STEPS) disturb()
-            slots.forEachIndexed { index, slot -> if (step % REFRESH_STEPS == index.toLong()) refresh(slot) }
+            slots.forEach { if (step % REFRESH_STEPS == it.refreshStep) refresh(it) }
             if (step % DIGEST_STEPS == 0L) exchangeDigests()
             if (step % SAVE_STEPS == 0L) saveAll()
             if (happens(STREAMS_PER_SECOND)) begin()
@@ -85,12 +91,13 @@
 
     private fun disturb() {
         if (happens(RELEASES_PER_SECOND)) release()
+        if (happens(SHORT_LIVED_PER_SECOND)) joinBriefly()
         faults.forEach { if (happens(FAULTS_PER_SECOND)) cause(it) }
     }
 
     private fun happens(perSecond: Double) = random.nextDouble() < perSecond * STEP_MILLISECONDS / 1_000
 
-    private fun newTarget(): TargetRegistration {
+    private fun newTarget(version: String = "v$newestVersion"): TargetRegistration {
         val run = ++identifiers
         return TargetRegistration(
             TargetId("target-$run"),
@@ -98,24 +105,50 @@
             TargetAddress("host", 1),
             FailureDomainId("domain"),
             Incarnation(run),
-            SoftwareVersion("v$newestVersion"),
+            SoftwareVersion(version),
             slots = 4,
             isLeaving = false,
             coldMilliseconds = 0,
         )
     }
 
-    private fun start(index: Int) = SimulatedStreamGateway("gateway-$index", now, clock, records)
+    private fun start(index: Int): SimulatedStreamGateway =
+        SimulatedStreamGateway("gateway-$index", now, clock, records) { readNow(slots[index]) }
+
+    /** Lets a gateway read the registrations from the store, and returns whether it can. */
+    private fun readNow(slot: Slot): Boolean {
+        if (reachesStore(slot)) read(slot)
+        return reachesStore(slot)
+    }
 
     /** Replaces one target, or at times all, by targets of the newest version; begins the next one if all have it. */
     private fun release() {
         val newest = SoftwareVersion("v$newestVersion")
-        if (registered.all { it.version == newest }) newestVersion++
-        if (random.nextInt(FULL_RELEASE_OF) == 0) {
-            registered = List(TARGETS) { newTarget() }
-        } else {
-            registered = registered - registered.first { it.version.value != "v$newestVersion" } + newTarget()
-        }
+        val staying = registered.filter { !it.isLeaving && it.id !in endsAtMilliseconds }
+        if (staying.all { it.version == newest }) newestVersion++
+        val replaced =
+            if (random.nextInt(FULL_RELEASE_OF) == 0) {
+                staying
+            } else {
+                staying.filter { it.version.value != "v$newestVersion" }.take(1)
+            }
+        replaced.forEach { endsAtMilliseconds[it.id] = now + DRAIN_MILLISECONDS }
+        registered =
+            registered.map { if (it in replaced) it.copy(isLeaving = true) else it } + replaced.map { newTarget() }
+    }
+
+    /** Registers a target of a version of its own that crashes soon. */
+    private fun joinBriefly() {
+        val target = newTarget("short-lived-$identifiers")
+        endsAtMilliseconds[target.id] = now + random.nextLong(MIN_LIFE_MILLISECONDS, MAX_LIFE_MILLISECONDS)
+        registered = registered + target
+    }
+
+    /** Removes the targets whose time has come; they no longer serve. */
+    private fun endTargets() {
+        val ended = registered.filter { now >= (endsAtMilliseconds[it.id] ?: Long.MAX_VALUE) }
+        registered = registered - ended
+        removed = removed + ended.map { it.id }
     }
 
     private fun cause(fault: StreamFault) {
@@ -167,11 +200,15 @@
     /** Lets a gateway read the registrations from the store, or from the member that has the newest ones. */
     private fun refresh(slot: Slot) {
         val gateway = slot.gateway ?: return
-        if (reachesStore(slot)) return gateway.apply(RegistrationView(registered, now))
+        if (reachesStore(slot)) return read(slot)
         if (now < slot.cutFromMembersUntil) return
         linkedGateways().mapNotNull { it.view }.maxByOrNull { it.readAtMilliseconds }?.let { gateway.apply(it) }
     }
 
+    private fun read(slot: Slot) {
+        slot.gateway?.apply(RegistrationView(registered, removed, now))
+    }
+
     private fun exchangeDigests() {
         val members = linkedGateways()
         members.map { it to it.digest() }.forEach { (sender, digest) ->
@@ -185,15 +222,17 @@
 
     private fun begin() {
         val gateway = slots.random(random).gateway ?: return
-        val target = gateway.targetsOfNewStreams.filter { it in registered }.randomOrNull(random) ?: return
+        val target = gateway.targetsOfNewStreams.filter { serves(it) }.randomOrNull(random) ?: return
         val stream = SimulatedStream("stream-${++identifiers}", target.version, now + STREAM_MILLISECONDS)
         gateway.recordEvent(stream, target, isTakeUp = false)
         streams = streams.filter { it.deadlineAtMilliseconds > now } + stream
     }
 
-    private fun takeUp() {
+    private suspend fun takeUp() {
         val gateway = slots.random(random).gateway ?: return
-        val stream = streams.filter { it.deadlineAtMilliseconds > now }.randomOrNull(random) ?: return
+        val alive = streams.filter { it.deadlineAtMilliseconds > now }
+        val broken = if (random.nextBoolean()) alive.takeLast(NEWEST_STREAMS) else alive
+        val stream = broken.randomOrNull(random) ?: return
         val targets = servingTargets(gateway)
         if (targets.any { it.version == stream.version }) takenUp++
         val decision = gateway.decide(stream) as? TakeUp.Continue ?: return
@@ -203,7 +242,9 @@
     }
 
     /** Returns the targets that [gateway] knows and that still serve. */
-    private fun servingTargets(gateway: SimulatedStreamGateway) = gateway.targets.filter { it in registered }
+    private fun servingTargets(gateway: SimulatedStreamGateway) = gateway.targets.filter { serves(it) }
+
+    private fun serves(target: TargetRegistration) = registered.any { it.id == target.id }
 
     private companion object {
         const val GATEWAYS = 4
@@ -217,10 +258,19 @@
         const val REFRESH_STEPS = 35L
         const val LOST_DIGESTS = 0.1
         const val RELEASES_PER_SECOND = 0.3
-        const val FULL_RELEASE_OF = 5
+        const val FULL_RELEASE_OF = 3
+        const val SHORT_LIVED_PER_SECOND = 0.05
+        const val MIN_LIFE_MILLISECONDS = 2_500L
+        const val MAX_LIFE_MILLISECONDS = 6_000L
+
+        /** Time for which a target that is leaving still serves. */
+        const val DRAIN_MILLISECONDS = 2_500L
         const val FAULTS_PER_SECOND = 0.15
         const val STREAMS_PER_SECOND = 20.0
         const val TAKE_UPS_PER_SECOND = 20.0
+
+        /** Streams that break soon after they have begun; half of the take-ups are theirs. */
+        const val NEWEST_STREAMS = 4
         const val STREAM_MILLISECONDS = 8_000L
         const val MIN_FAULT_MILLISECONDS = 500L
         const val MAX_FAULT_MILLISECONDS = 8_000L
