Accept no key unless the configuration has no tenants at all

Cause: what was read, what was empty and what could not be read had one representation, the empty list, and Configuration.requiresKeys took it for "needs no key". So did a list whose only organisation has no name or one that cannot be sent, and a field of another type.

Fix: organisations is null only if the document has no tenants field.

--- a/core/src/main/kotlin/toucanrelay/core/configuration/Configuration.kt
+++ b/core/src/main/kotlin/toucanrelay/core/configuration/Configuration.kt
@@ -59,20 +59,25 @@
     public val tokensPerSecond: Double?,
 )
 
-/** One version of the whole configuration set by the operators. */
+/**
+ * One version of the whole configuration set by the operators.
+ *
+ * @property organisations the organisations whose keys are accepted; null if requests need no key. An empty list accepts
+ *   no key.
+ */
 public class Configuration(
     public val version: Long,
     public val routes: ImmutableList<Route>,
     public val services: ImmutableMap<String, ServiceSettings>,
-    public val organisations: ImmutableList<Organisation>,
+    public val organisations: ImmutableList<Organisation>?,
     public val limits: CallerLimits,
 ) {
     private val routesByHost = routes.groupBy { it.host }.mapValues { (_, routes) -> longestPrefixFirst(routes) }
-    private val organisationsByKey = organisations.flatMap { owner -> owner.keys.map { key -> key to owner } }.toMap()
+    private val organisationsByKey = organisations.orEmpty().flatMap { owner -> owner.keys.map { it to owner } }.toMap()
 
     /** Whether requests need the key of an organisation, except on anonymous routes. */
     public val requiresKeys: Boolean
-        get() = organisations.isNotEmpty()
+        get() = organisations != null
 
     /** Returns the route of [host] with the longest prefix of [path]; null when there is none. */
     public fun routeOf(host: String, path: String): Route? =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/FollowedOperators.kt
@@ -14,6 +14,11 @@
     private val log: EventLog,
     private val onChange: () -> Unit,
 ) : FollowedTable {
+    /** Whether the newest configuration cannot be read, so that no one knows whether the current one still holds. */
+    private var isNewestUnreadable = false
+    private val mayConfirm: Boolean
+        get() = register.current != null && !isNewestUnreadable
+
     override val name = "operators"
     override val nameInStore = OperatorTable.NAME
     override val isUrgent: Boolean
@@ -21,15 +26,22 @@
 
     override fun apply(change: TableChange) {
         val entries = OperatorTable.decode(change.rows)
-        entries.filterIsInstance<OperatorEntry.NewConfiguration>().forEach { applyConfiguration(it) }
+        val configurations = entries.filterIsInstance<OperatorEntry.NewConfiguration>()
+        configurations.forEach { applyConfiguration(it) }
+        if (OperatorTable.hasConfiguration(change.rows)) recordReadable(configurations.isNotEmpty())
         applyFailureDomains(entries.filterIsInstance<OperatorEntry.FailureDomainStatus>(), change.isWhole)
-        if (register.current != null) change.confirmedAtMilliseconds?.let { register.confirm(it) }
+        if (mayConfirm) change.confirmedAtMilliseconds?.let { register.confirm(it) }
     }
 
     override fun recordOutageEnd(agoMilliseconds: Long) = Unit
 
     override fun recordMissedRows() = Unit
 
+    private fun recordReadable(isReadable: Boolean) {
+        isNewestUnreadable = !isReadable
+        if (isNewestUnreadable) log.write("configuration-unreadable", "inForce" to register.current?.version)
+    }
+
     private fun applyConfiguration(entry: OperatorEntry.NewConfiguration) {
         val configuration = entry.configuration
         val isNewer = register.offer(configuration)
@@ -37,7 +49,7 @@
             if (isNewer) "configuration-in-force" else "configuration-ignored",
             "version" to configuration.version,
             "routes" to configuration.routes.size,
-            "organisations" to configuration.organisations.size,
+            "organisations" to configuration.organisations?.size,
         )
     }
 
