Take only final statuses for answers

Cause: AnswerCheck looked at ids, signature and encoding, never at the status, and the decoder takes any number.

Fix: only a status of 200 to 599 makes an answer (RFC 9110, 15). Any other leaves open whether the request has run, and nothing else that the answer says is believed.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/AnswerCheck.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/AnswerCheck.kt
@@ -15,7 +15,7 @@
     /** Returns whether [answer] comes from the target that the request was sent to, whatever else is wrong with it. */
     fun isOwn(answer: TargetAnswer): Boolean {
         val headers = answer.parsedHeaders
-        return headers.requestId == requestId && (headers.isNotExecuted || headers.isSigned)
+        return answer.isFinal && headers.requestId == requestId && (headers.isNotExecuted || headers.isSigned)
     }
 
     /** Returns why [answer] is not a valid answer of the target to the request, or null if it is valid. */
@@ -24,6 +24,7 @@
         return when {
             headers.requestId == null -> "answer without exactly one request id, status ${answer.status}"
             headers.requestId != requestId -> "answer to another request"
+            !answer.isFinal -> "answer with status ${answer.status}, which no final answer has"
             headers.isNotExecuted -> null
             !headers.isSigned -> "answer is not signed, status ${answer.status}"
             headers.isEncoded -> "answer has a content encoding"
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
@@ -15,6 +15,10 @@
     val isSuccess: Boolean
         get() = status in FIRST_SUCCESS..LAST_SUCCESS
 
+    /** Whether the status is one that the final answer to a request can have. */
+    val isFinal: Boolean
+        get() = status in FIRST_SUCCESS..LAST_SERVER_ERROR
+
     /** Whether the answer says where its body ends, other than by the end of the connection. */
     val isFramed: Boolean
         get() = headers.contains("Content-Length") || headers.contains("Transfer-Encoding")
@@ -31,6 +35,7 @@
     private companion object {
         const val FIRST_SUCCESS = 200
         const val LAST_SUCCESS = 299
+        const val LAST_SERVER_ERROR = 599
     }
 }
 
