Do not pass on a part of an answer as whole when its upload was cut

Cause: the writing side sees the reset first, or the target ends its sending before it resets. The library then closes the connection, and the decoder takes that for the end of a body that ends with its connection. The error reaches only the request.

Fix: such a body is whole only if the whole request was sent (AnswerEnd).

--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnection.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnection.kt
@@ -1,6 +1,7 @@
 package toucanrelay.gateway.target
 
 import io.netty.handler.codec.TooLongFrameException
+import io.vertx.core.Future
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientConnection
@@ -78,13 +79,13 @@
             request.headers().setAll(outgoing.headers)
             request.exceptionHandler { answer.completeExceptionally(it) }
             limitInformationalResponses(request, answer)
+            val sent = send(request, outgoing)
             request.response().onComplete(
                 { response ->
-                    runCatching { receive(response) }.fold(answer::complete, answer::completeExceptionally)
+                    runCatching { receive(response, sent) }.fold(answer::complete, answer::completeExceptionally)
                 },
                 { cause -> answer.completeExceptionally(cause) },
             )
-            send(request, outgoing)
             return answer.await()
         } catch (cancelled: CancellationException) {
             throw cancelled
@@ -128,16 +129,14 @@
         request.earlyHintsHandler { count() }
     }
 
-    private fun send(request: HttpClientRequest, outgoing: OutgoingRequest) {
-        if (outgoing.body.length() == 0 && outgoing.method == HttpMethod.GET) {
-            request.end()
-        } else {
-            request.putHeader("Content-Length", outgoing.body.length().toString())
-            request.end(outgoing.body)
-        }
+    /** Sends [outgoing]; the result succeeds once it was handed to the operating system as a whole. */
+    private fun send(request: HttpClientRequest, outgoing: OutgoingRequest): Future<Void> {
+        if (outgoing.body.length() == 0 && outgoing.method == HttpMethod.GET) return request.end()
+        request.putHeader("Content-Length", outgoing.body.length().toString())
+        return request.end(outgoing.body)
     }
 
-    private fun receive(response: HttpClientResponse): TargetAnswer {
+    private fun receive(response: HttpClientResponse, sent: Future<Void>): TargetAnswer {
         val body = IncomingBody({ response.pause() }, { response.resume() }, turns)
         var isBroken = false
         onReceived()
@@ -149,9 +148,9 @@
             isBroken = true
             body.add(BodyPart.Broken(cause.message ?: cause.javaClass.simpleName))
         }
-        response.endHandler { if (!isBroken) body.add(BodyPart.End) }
         val parsedHeaders = PlatformHeaders.readTargetResponse(response.statusCode(), response.headers())
         val answer = TargetAnswer(response.statusCode(), response.headers(), parsedHeaders, body)
+        response.endHandler { if (!isBroken) body.add(AnswerEnd.of(answer.isFramed, sent.succeeded())) }
         if (!answer.isFramed) isLastExchange = true
         readKeepAlive(response.headers())
         return answer
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetPool.kt
@@ -93,8 +93,12 @@
             .setTcpNoDelay(true)
             .setDecompressionSupported(false)
             .setMaxHeaderSize(MAX_HEADER_BYTES)
+            .setSendBufferSize(SEND_BUFFER_BYTES)
 
     private companion object {
         const val MAX_HEADER_BYTES = 65_536
+
+        /** What the operating system holds of a request that a target does not read counts as sent ([AnswerEnd]). */
+        const val SEND_BUFFER_BYTES = 131_072
     }
 }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFixture.kt
@@ -50,6 +50,9 @@
     val gateway: Gateway
         get() = instance.gateway
 
+    /** Limit on the bodies of requests; null for the stand-in's own. */
+    var maxBodyBytes: Int? = null
+
     /** Starts the stand-ins and the gateway as [GatewayInstance.start] says; only [registered] are registered. */
     suspend fun start(
         revocationMilliseconds: Double = 5_000.0,
@@ -88,6 +91,7 @@
 
     fun configuration(version: Long, vararg keys: String = arrayOf(KEY)) =
         configurationDocument(version) {
+            this@GatewayFixture.maxBodyBytes?.let { maxBodyBytes = it }
             route("/calls/", "models", "idempotent")
             route("/orders/", "models", "non_idempotent", attempts = 2)
             route("/streams/", "models", "streaming", isResumable = true)
