Let the targets of tests that write bytes share how they accept connections

Three stand-ins had the same loop of accepting threads. No assertion changes; UnreadUploadTest, EarlierAnswerTest, UnframedAnswerTest, CutHeadTest and OddStatusTest pass.

--- a/gateway/src/test/kotlin/toucanrelay/gateway/KeptTargetStandIn.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/KeptTargetStandIn.kt
@@ -1,11 +1,8 @@
 package toucanrelay.gateway
 
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.net.SocketException
 import java.util.concurrent.CopyOnWriteArrayList
-import kotlin.concurrent.thread
 
 private val CONTENT_LENGTH = Regex("(?i)content-length: *(\\d+)")
 private val REQUEST_ID = Regex("(?i)x-request-id: *(\\S+)")
@@ -68,28 +65,20 @@
 internal class KeptTargetStandIn(
     private val script: (KeptExchange) -> Unit,
 ) {
-    private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val acceptor = ConnectionAcceptor("kept-target", ::serve)
 
     /** The received requests, in order. */
     val received = CopyOnWriteArrayList<KeptExchange>()
 
     /** The port that the server listens on. */
     val port: Int
-        get() = server.localPort
+        get() = acceptor.port
 
     /** Starts to accept connections. */
-    fun start() {
-        thread(isDaemon = true, name = "kept-target") {
-            try {
-                while (true) server.accept().let { socket -> thread(isDaemon = true) { serve(socket) } }
-            } catch (closed: SocketException) {
-                println("kept target stopped: ${closed.message}")
-            }
-        }
-    }
+    fun start() = acceptor.start()
 
     /** Stops accepting connections. */
-    fun stop() = server.close()
+    fun stop() = acceptor.stop()
 
     private fun serve(socket: Socket) {
         val ids = mutableListOf<String>()
@@ -117,10 +106,6 @@
 
     private fun refusalOf(probe: KeptExchange) =
         "HTTP/1.1 503 Full\r\nX-Request-Id: ${probe.id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-
-    private companion object {
-        const val BACKLOG = 50
-    }
 }
 
 /** Registers [targets] in place of the fixture's own, and waits until the gateway sends its requests to them. */
--- a/gateway/src/test/kotlin/toucanrelay/gateway/RawTargetStandIn.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/RawTargetStandIn.kt
@@ -1,11 +1,7 @@
 package toucanrelay.gateway
 
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
-import java.net.SocketException
 import java.util.concurrent.CopyOnWriteArrayList
-import kotlin.concurrent.thread
 
 /** How [RawTargetStandIn] ends a connection after its answer. */
 internal enum class ConnectionEnd {
@@ -21,28 +17,20 @@
     private val answer: (headers: String) -> String,
     private val end: ConnectionEnd,
 ) {
-    private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val acceptor = ConnectionAcceptor("raw-target", ::serve)
 
     /** Headers of the received requests, in order. */
     val received = CopyOnWriteArrayList<String>()
 
     /** The port that the server listens on. */
     val port: Int
-        get() = server.localPort
+        get() = acceptor.port
 
     /** Starts to accept connections. */
-    fun start() {
-        thread(isDaemon = true, name = "raw-target") {
-            try {
-                while (true) server.accept().let { socket -> thread(isDaemon = true) { serve(socket) } }
-            } catch (closed: SocketException) {
-                println("raw target stopped: ${closed.message}")
-            }
-        }
-    }
+    fun start() = acceptor.start()
 
     /** Stops accepting connections. */
-    fun stop() = server.close()
+    fun stop() = acceptor.stop()
 
     private fun serve(socket: Socket) {
         val headers = readHeaders(socket) ?: return
@@ -72,7 +60,6 @@
     }
 
     private companion object {
-        const val BACKLOG = 50
         const val DELIVERY_MILLISECONDS = 150L
         val CONTENT_LENGTH = Regex("(?i)content-length: *(\\d+)")
     }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/UnreadUploadTarget.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/UnreadUploadTarget.kt
@@ -2,12 +2,8 @@
 
 import java.io.InputStream
 import java.io.OutputStream
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
-import java.net.SocketException
 import java.util.concurrent.CopyOnWriteArrayList
-import kotlin.concurrent.thread
 
 /** How [UnreadUploadTarget] ends a connection on which it has not read all. */
 internal enum class UnreadEnd {
@@ -31,28 +27,20 @@
     private val end: UnreadEnd,
     private val answer: (id: String) -> String,
 ) {
-    private val server = ServerSocket(0, BACKLOG, InetAddress.getByName(LOOPBACK))
+    private val acceptor = ConnectionAcceptor("unread-upload", ::serve)
 
     /** Ids of the received requests, in order. */
     val received = CopyOnWriteArrayList<String>()
 
     /** The port that the server listens on. */
     val port: Int
-        get() = server.localPort
+        get() = acceptor.port
 
     /** Starts to accept connections. */
-    fun start() {
-        thread(isDaemon = true, name = "unread-upload") {
-            try {
-                while (true) server.accept().let { socket -> thread(isDaemon = true) { serve(socket) } }
-            } catch (closed: SocketException) {
-                println("target stopped: ${closed.message}")
-            }
-        }
-    }
+    fun start() = acceptor.start()
 
     /** Stops accepting connections. */
-    fun stop() = server.close()
+    fun stop() = acceptor.stop()
 
     private fun serve(socket: Socket) {
         val input = socket.getInputStream()
@@ -93,7 +81,6 @@
     companion object {
         /** Path of the requests that show whether the target is used, which it refuses. */
         const val PROBE_PATH = "/calls/probe"
-        private const val BACKLOG = 50
         private const val DELIVERY_MILLISECONDS = 50L
         private val REQUEST_ID = Regex("(?i)x-request-id: *(\\S+)")
     }
