Tell other gateways of each stream that is begun, also while one version serves

Cause: origins of streams were told to other gateways only once a service had several versions, by the gateway that began them, which by then may tell nothing any more.

Those of all streams are still told once more when a service comes to have several versions.

--- a/core/src/main/kotlin/toucanrelay/core/stream/StreamOrigins.kt
+++ b/core/src/main/kotlin/toucanrelay/core/stream/StreamOrigins.kt
@@ -43,19 +43,19 @@
     /**
      * Returns the origins that this instance knows of its own and that are to be shared, the newest first, at most [limit].
      *
-     * @param sharedSinceMilliseconds returns when the origins of a service began to be shared, or null if they are not.
-     *   All that were recorded until then are new to the other instances.
+     * These are the ones that were recorded a short time ago.
+     *
+     * @param repeatedSinceMilliseconds returns when the older ones of a service, too, began to be shared once more; null if
+     *   they are not.
      */
     public fun toShare(
         limit: Int,
-        sharedSinceMilliseconds: (service: String) -> Long?,
+        repeatedSinceMilliseconds: (service: String) -> Long?,
     ): List<Pair<StreamKey, StreamOrigin>> {
         val oldest = clock.nowMilliseconds() - SHARED_MILLISECONDS
         return select(limit) { entry ->
-            val since = sharedSinceMilliseconds(entry.origin.service)
-            entry.origin.source == OriginSource.OWN &&
-                since != null &&
-                maxOf(since, entry.recordedAtMilliseconds) >= oldest
+            val since = repeatedSinceMilliseconds(entry.origin.service) ?: entry.recordedAtMilliseconds
+            entry.origin.source == OriginSource.OWN && maxOf(since, entry.recordedAtMilliseconds) >= oldest
         }
     }
 
--- a/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamMemory.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/stream/StreamMemory.kt
@@ -13,8 +13,8 @@
 /**
  * What this process knows of the software versions that began streams; confined to the event loop.
  *
- * While a service has had a single version, that one began all its streams, and no record of them is needed. Otherwise the
- * origin of each stream is shared with the other members and saved to the store.
+ * The origin of each stream is shared with the other members, since its own one may no longer be there to tell it when
+ * another version comes. While a service has had several versions, origins are also saved to the store.
  *
  * @param retentionMilliseconds returns how long a stream can be resumed after its version was last seen.
  * @param registrationsAgeMilliseconds returns the age of the copy of the registrations; null if there is none.
@@ -26,7 +26,7 @@
     private val registrationsAgeMilliseconds: () -> Long?,
 ) {
     private val history = VersionHistory(clock, retentionMilliseconds)
-    private val sharedSinceMilliseconds = HashMap<String, Long>()
+    private val repeatedSinceMilliseconds = HashMap<String, Long>()
     private var missesVersionsUntilMilliseconds = Long.MIN_VALUE
 
     /** The known origins of streams. */
@@ -103,20 +103,20 @@
 
     /** Returns the origins of streams that the other members may not know. */
     fun originsToShare(limit: Int): List<Pair<StreamKey, StreamOrigin>> {
-        updateSharedServices()
-        return origins.toShare(limit) { sharedSinceMilliseconds[it] }
+        updateRepeatedServices()
+        return origins.toShare(limit) { repeatedSinceMilliseconds[it] }
     }
 
     private fun recordRegistered() {
         registry.registeredVersions().forEach { history.record(it) }
     }
 
-    /** Begins or ends to share the origins of the streams of each service. */
-    private fun updateSharedServices() {
+    /** Begins or ends to share all origins of the streams of each service once more, for members that lack earlier ones. */
+    private fun updateRepeatedServices() {
         val services = if (isAgeing) registry.registeredVersions() else contestedVersions().keys
         val names = services.mapTo(HashSet()) { it.service }
-        sharedSinceMilliseconds.keys.retainAll(names)
-        names.forEach { sharedSinceMilliseconds.putIfAbsent(it, clock.nowMilliseconds()) }
+        repeatedSinceMilliseconds.keys.retainAll(names)
+        names.forEach { repeatedSinceMilliseconds.putIfAbsent(it, clock.nowMilliseconds()) }
     }
 
     /** Whether the registrations are so old that the other members may soon need more than those to tell versions. */
--- a/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFleetFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GatewayFleetFixture.kt
@@ -51,6 +51,9 @@
     /** Returns the port of the gateway with index [gateway]. */
     fun portOf(gateway: Int): Int = running[gateway].port
 
+    /** Stops the gateway with index [gateway] at once. */
+    suspend fun kill(gateway: Int) = running[gateway].kill()
+
     /** Stops all gateways at once; those that are started later get new indexes. */
     suspend fun killAll() = running.forEach { it.kill() }
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/JoinedVersionsTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/JoinedVersionsTest.kt
@@ -75,6 +75,16 @@
                 streams.forEach { shouldGoOn(it, fixture.takeUp(it, gateway = 1)) }
             }
 
+            // Guards against streams of a killed or suspended gateway that nobody else knows when another version comes.
+            it("goes on at another gateway if only one version served until its own was killed") {
+                start(listOf("v1", "v1", "v2"), gateways = 2, joining = "v2")
+                val streams = List(STREAMS) { fixture.breakStream(gateway = 0) }
+                fixture.awaitExchange()
+                fixture.killGateway(0)
+                fixture.join("v2")
+                streams.forEach { shouldGoOn(it, fixture.takeUp(it, gateway = 1)) }
+            }
+
             it("goes on at its version each time that it is taken up") {
                 start()
                 fixture.breakOneOfEach().forEach { stream ->
--- a/gateway/src/test/kotlin/toucanrelay/gateway/VersionedFleetFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/VersionedFleetFixture.kt
@@ -54,6 +54,9 @@
     /** Starts one more gateway. */
     suspend fun startGateway() = fleet.startGateway("/calls/x")
 
+    /** Stops the gateway with index [gateway] at once. */
+    suspend fun killGateway(gateway: Int) = fleet.kill(gateway)
+
     /** Stops all gateways at once. */
     suspend fun killAllGateways() = fleet.killAll()
 
