--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -50,11 +50,18 @@
         request.response().map { ResponseBody(request, it) }.onComplete { result ->
             val body = result.result()
             this.body = body
-            head.complete(if (body == null) ReadResult.Failed(result.cause().toString()) else ReadResult.Received(body))
+            head.complete(if (body == null) ReadResult.Failed(result.cause().toString()) else readHead(body))
         }
         if (content == null) request.send() else request.send(content)
     }
 
+    private fun readHead(body: ResponseBody): ReadResult<ResponseBody> =
+        if (body.status in FINAL_STATUSES) {
+            ReadResult.Received(body)
+        } else {
+            ReadResult.Failed("response with status ${body.status}, which no final response has")
+        }
+
     /** Waits for the head of the response, for at most [silenceMilliseconds]. */
     @OptIn(ExperimentalCoroutinesApi::class)
     suspend fun await(silenceMilliseconds: Long): ReadResult<ResponseBody> =
@@ -67,6 +74,10 @@
     fun abort() {
         body?.abort() ?: request.reset()
     }
+
+    private companion object {
+        val FINAL_STATUSES = 200..599
+    }
 }
 
 /** Reads a response's body buffer by buffer, with backpressure on the connection. */
