--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.selects.select
 import toucanrelay.wire.Head
 import toucanrelay.wire.Header
+import java.io.IOException
 
 /** Result of one read from a connection. */
 internal sealed interface ReadResult<out T> {
@@ -46,13 +47,17 @@
     @Volatile
     private var body: ResponseBody? = null
 
+    @Volatile
+    private var isSent = false
+
     init {
-        request.response().map { ResponseBody(request, it) }.onComplete { result ->
+        request.response().map { ResponseBody(request, it) { isSent } }.onComplete { result ->
             val body = result.result()
             this.body = body
             head.complete(if (body == null) ReadResult.Failed(result.cause().toString()) else readHead(body))
         }
-        if (content == null) request.send() else request.send(content)
+        val sent = if (content == null) request.end() else request.end(content)
+        sent.onSuccess { isSent = true }
     }
 
     private fun readHead(body: ResponseBody): ReadResult<ResponseBody> =
@@ -80,10 +85,16 @@
     }
 }
 
-/** Reads a response's body buffer by buffer, with backpressure on the connection. */
+/**
+ * Reads a response's body buffer by buffer, with backpressure on the connection.
+ *
+ * @param isRequestSent returns whether the whole request was sent. A target that ends the connection before resets it, so
+ *   that a body without a length or chunks, which ends with the connection, is not complete.
+ */
 internal class ResponseBody(
     private val request: HttpClientRequest,
     private val response: HttpClientResponse,
+    private val isRequestSent: () -> Boolean,
 ) {
     private val buffers = Channel<Buffer>(Channel.UNLIMITED)
 
@@ -95,13 +106,16 @@
         response.handler { buffers.trySend(it) }
         response.endHandler {
             hasEnded = true
-            buffers.close()
+            if (isFramed || isRequestSent()) buffers.close() else buffers.close(IOException(CUT_DETAIL))
             request.connection().close()
         }
         response.exceptionHandler { buffers.close(it) }
         response.fetch(READ_AHEAD_BUFFERS)
     }
 
+    private val isFramed: Boolean
+        get() = response.headers().contains("Content-Length") || response.headers().contains("Transfer-Encoding")
+
     val status: Int
         get() = response.statusCode()
 
@@ -158,5 +172,6 @@
     private companion object {
         /** Maximum number of buffers that may wait to be read. */
         const val READ_AHEAD_BUFFERS = 16L
+        const val CUT_DETAIL = "the connection ended before the whole request was sent"
     }
 }
--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/TargetConnection.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/TargetConnection.kt
@@ -52,7 +52,10 @@
         } else {
             HTTP_PORT
         }
-    private val client = vertx.createHttpClient(HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS))
+    private val client =
+        vertx.createHttpClient(
+            HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS).setSendBufferSize(SEND_BUFFER_BYTES),
+        )
 
     /** Connects; throws when no connection could be opened, in which case the target received nothing. */
     suspend fun connect(method: HttpMethod, path: String): HttpClientRequest {
@@ -88,6 +91,9 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MILLISECONDS = 2_000
+
+        /** What the operating system holds of a request that a target does not read counts as sent ([ResponseBody]). */
+        const val SEND_BUFFER_BYTES = 131_072
         const val CALL_TIMEOUT_MILLISECONDS = 2_000L
         const val HTTP_PORT = 80
         const val HTTPS_PORT = 443
--- a/daemon/src/test/kotlin/toucanrelay/daemon/agent/target/BrokenServiceTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/agent/target/BrokenServiceTest.kt
@@ -18,6 +18,8 @@
 import java.net.Socket
 import kotlin.concurrent.thread
 
+/** More than the buffers of both ends hold. */
+private const val UPLOAD_BYTES = 4_000_000
 private const val DELIVERY_MILLISECONDS = 50L
 
 /** A plain service that writes [answer] as it is to the first connection, and then lets [end] end it. */
@@ -58,7 +60,7 @@
     }
 }
 
-/** Guards against answers with a status that no final answer has, told to be complete. */
+/** Guards against parts of answers, and answers with a status that no final answer has, told to be complete. */
 class BrokenServiceTest :
     DescribeSpec({
         fun shouldBeLost(outcome: TargetOutcome) {
@@ -67,6 +69,17 @@
             }
         }
 
+        describe("a plain service that answers a long upload without a length") {
+            mapOf<String, (Socket) -> Unit>(
+                "resets the connection" to { it.setSoLinger(true, 0) },
+                "ends its sending and then resets the connection" to { it.shutdownOutput() },
+            ).forEach { (what, end) ->
+                it("has not answered if it $what while the upload is sent") {
+                    shouldBeLost(outcomeOf("u".repeat(UPLOAD_BYTES), "HTTP/1.1 200 OK\r\n\r\npart", end))
+                }
+            }
+        }
+
         describe("a plain service that answers with an odd status") {
             listOf("000", "20", "101", "199", "600", "2000").forEach { status ->
                 it("has not answered with status $status") {
