Take answers with status 204 or 304 for whole once their head has arrived

They can have no body (RFC 9110, 15), so that they do not end with their connection. With the check on the upload, one that comes before its upload was sent would be broken off. The facts about status codes stand once in core, for the gateway and the daemon.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.channels.ChannelResult
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import toucanrelay.core.http.ResponseStatus
 import toucanrelay.wire.Head
 import toucanrelay.wire.Header
 import java.io.IOException
@@ -61,7 +62,7 @@
     }
 
     private fun readHead(body: ResponseBody): ReadResult<ResponseBody> =
-        if (body.status in FINAL_STATUSES) {
+        if (ResponseStatus.isFinal(body.status)) {
             ReadResult.Received(body)
         } else {
             ReadResult.Failed("response with status ${body.status}, which no final response has")
@@ -79,10 +80,6 @@
     fun abort() {
         body?.abort() ?: request.reset()
     }
-
-    private companion object {
-        val FINAL_STATUSES = 200..599
-    }
 }
 
 /**
@@ -114,7 +111,10 @@
     }
 
     private val isFramed: Boolean
-        get() = response.headers().contains("Content-Length") || response.headers().contains("Transfer-Encoding")
+        get() =
+            !ResponseStatus.hasBody(status) ||
+                response.headers().contains("Content-Length") ||
+                response.headers().contains("Transfer-Encoding")
 
     val status: Int
         get() = response.statusCode()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetAnswer.kt
@@ -1,6 +1,7 @@
 package toucanrelay.gateway.target
 
 import io.vertx.core.MultiMap
+import toucanrelay.core.http.ResponseStatus
 import toucanrelay.gateway.body.IncomingBody
 import toucanrelay.platform.TargetHeaders
 
@@ -17,11 +18,14 @@
 
     /** Whether the status is one that the final answer to a request can have. */
     val isFinal: Boolean
-        get() = status in FIRST_SUCCESS..LAST_SERVER_ERROR
+        get() = ResponseStatus.isFinal(status)
 
     /** Whether the answer says where its body ends, other than by the end of the connection. */
     val isFramed: Boolean
-        get() = headers.contains("Content-Length") || headers.contains("Transfer-Encoding")
+        get() =
+            !ResponseStatus.hasBody(status) ||
+                headers.contains("Content-Length") ||
+                headers.contains("Transfer-Encoding")
 
     /** Media type of the body in lower case, without parameters; null if the answer has none. */
     val mediaType: String?
@@ -35,7 +39,6 @@
     private companion object {
         const val FIRST_SUCCESS = 200
         const val LAST_SUCCESS = 299
-        const val LAST_SERVER_ERROR = 599
     }
 }
 
