--- a/gateway/src/main/kotlin/toucanrelay/gateway/stream/TakeUps.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/stream/TakeUps.kt
@@ -47,7 +47,7 @@
         return TakeUp.Continue(origin.version, sourceOf(origin.source), memory.origins.ageMilliseconds(stream))
     }
 
-    /** Derives the version of a stream of which nothing is known from the versions of [service]. */
+    /** Derives the version of the stream that [request] resumes, of which nothing is known, from those of its service. */
     private suspend fun derive(request: CallerRequest): TakeUp {
         if (!memory.isRestored) return TakeUp.Refuse(Refusal.VERSIONS_NOT_READ, "earlier versions are not read")
         val service = request.service.name
