Let the test of a refused connection meet one for certain

Cause: the test took the port of a server that it had just closed. Vert.x completes close() before the socket is closed, so the kernel may still accept a connection there and then reset it. What the product says of such a call is right: it was connected, so the call may have taken effect, which the test beside it checks.

The check is the same.

--- a/store/src/test/kotlin/toucanrelay/store/HttpPlatformTest.kt
+++ b/store/src/test/kotlin/toucanrelay/store/HttpPlatformTest.kt
@@ -20,6 +20,8 @@
 import toucanrelay.store.table.RowKey
 import toucanrelay.store.table.RowVersion
 import toucanrelay.store.table.WriteCondition
+import java.net.InetSocketAddress
+import java.net.Socket
 
 class HttpPlatformTest :
     DescribeSpec({
@@ -130,12 +132,12 @@
 
         describe("a write without a response") {
             it("because the connection is refused was not executed") {
-                val platform = httpPlatform(vertx, "http://127.0.0.1:${closedPort(vertx)}")
-
-                platform
-                    .write(key, "{}", WriteCondition.Absent)
-                    .getError()
-                    .shouldBeInstanceOf<PlatformError.NotExecuted>()
+                withRefusingPort { port ->
+                    httpPlatform(vertx, "http://127.0.0.1:$port")
+                        .write(key, "{}", WriteCondition.Absent)
+                        .getError()
+                        .shouldBeInstanceOf<PlatformError.NotExecuted>()
+                }
             }
 
             it("because the connection failed may have taken effect") {
@@ -177,12 +179,14 @@
 private const val READERS = 64
 private const val READS_PER_READER = 200
 
-private suspend fun closedPort(vertx: Vertx): Int {
-    val server =
-        vertx
-            .createNetServer()
-            .connectHandler { }
-            .listen(0, "127.0.0.1")
-            .coAwait()
-    return server.actualPort().also { server.close().coAwait() }
+/**
+ * Calls [block] with a port that refuses every connection: a bound socket that never listens.
+ *
+ * The port of a server that has just closed would not do: the kernel may still accept a connection there and reset it.
+ */
+private suspend fun withRefusingPort(block: suspend (Int) -> Unit) {
+    Socket().use { socket ->
+        socket.bind(InetSocketAddress("127.0.0.1", 0))
+        block(socket.localPort)
+    }
 }
