Part the dispatcher's decisions from its views of targets

TargetViews knows which targets an entry is linked to, which of them are usable and in service, and which pools nobody is expected to serve. Dispatcher keeps the queues and tickets. No behaviour is meant to change.

Measured: EntryRoleTest and EntryAndAgentTest pass; formatter and linter are clean.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/dispatch/Dispatcher.kt
@@ -18,7 +18,6 @@
 import toucanrelay.core.queue.WaitingRequest
 import toucanrelay.core.refusal.RefusalReason
 import toucanrelay.core.routing.ByteBudget
-import toucanrelay.core.routing.Candidate
 import toucanrelay.core.routing.RoutingPolicy
 import toucanrelay.core.time.Clock
 import toucanrelay.daemon.entry.EntryMeters
@@ -53,8 +52,7 @@
     private val lock = ReentrantLock()
     private val queues = RequestQueues { organisation -> limitsOf(bundles, organisation) }
     private val tickets = HashMap<RequestId, Ticket>()
-    private val views = LinkedHashMap<AgentLink, TargetView>()
-    private var leaving: Set<InstanceId> = emptySet()
+    private val views = TargetViews(clock, bundles, tuning.reconnectGraceMilliseconds)
     private var sweptBundle: Bundle? = null
     private var isRefusingAll = false
 
@@ -139,11 +137,11 @@
         }
 
     /** Returns whether no target is expected to serve [pool]. */
-    fun isPoolUnserved(pool: Pool): Boolean = lock.withLock { isUnserved(pool) }
+    fun isPoolUnserved(pool: Pool): Boolean = lock.withLock { views.isUnserved(pool) }
 
     override fun onLinkAdded(link: AgentLink) =
         lock.withLock {
-            views[link] = TargetView(link, now())
+            views.add(link)
         }
 
     override fun onLinkRemoved(link: AgentLink) =
@@ -154,12 +152,12 @@
 
     override fun onLeaving(instances: Set<InstanceId>) =
         lock.withLock {
-            leaving = instances
+            views.leaving = instances
         }
 
     override fun onConnected(link: AgentLink, session: AgentSession) =
         lock.withLock {
-            views[link]?.recordConnection(session, clock.nowMilliseconds())
+            views[link]?.recordConnection(session, now())
             Unit
         }
 
@@ -182,7 +180,7 @@
     override fun onGrant(link: AgentLink, grant: Grant) =
         lock.withLock {
             link.recordGrant()
-            val view = views[link]?.takeIf { it.isUsable && isInService(it) }
+            val view = views.inService(link)
             val request = view?.let { requestFor(grant, it) }
             if (request == null) decline(link, grant) else assign(request, view, grant.grantId, null)
         }
@@ -229,7 +227,7 @@
     private fun isAssignable(request: WaitingRequest, view: TargetView): Boolean {
         val candidate = view.candidateFor(request, now())
         if (routing.isLocal(candidate) && view.target !in request.refusedBy) return true
-        return routing.isGrantAllowed(request, candidate, candidatesFor(request), now())
+        return routing.isGrantAllowed(request, candidate, views.candidatesFor(request), now())
     }
 
     private fun addTicket(request: WaitingRequest): Ticket {
@@ -241,7 +239,7 @@
     }
 
     private fun dispatch(pool: Pool) {
-        while (views.values.any { it.isUsable && pool in it.pools && it.capacity.available(now()) > 0 }) {
+        while (views.usable(pool).any { it.capacity.available(now()) > 0 }) {
             val started = queues.heads(pool, accounting.policy).any(::tryAssign)
             if (!started) break
         }
@@ -249,8 +247,8 @@
     }
 
     private fun tryAssign(request: WaitingRequest): Boolean {
-        val chosen = routing.choose(request, candidatesFor(request), now()) ?: return false
-        val view = views.values.first { it.target == chosen.target && it.isUsable }
+        val chosen = routing.choose(request, views.candidatesFor(request), now()) ?: return false
+        val view = views.usable(chosen.target)
         assign(request, view, grantId = 0, announcement = view.capacity.recordSend())
         return true
     }
@@ -314,46 +312,17 @@
         signalDemandChange(request.pool)
     }
 
-    private fun signalDemandChange(pool: Pool) =
-        views.values.filter { pool in it.pools && it.isUsable }.forEach { it.link.signalDemandChange() }
+    private fun signalDemandChange(pool: Pool) = views.usable(pool).forEach { it.link.signalDemandChange() }
 
     /** Returns why requests for [pool] are refused; null when they are accepted. */
     private fun refusalOf(pool: Pool): RefusalReason? =
         when {
             isRefusingAll -> RefusalReason.SHUTTING_DOWN
-            isUnserved(pool) -> RefusalReason.NO_TARGET
+            views.isUnserved(pool) -> RefusalReason.NO_TARGET
             else -> null
         }
 
-    private fun isUnserved(pool: Pool): Boolean = views.values.none { isExpectedToServe(it, pool) }
-
-    private fun isExpectedToServe(view: TargetView, pool: Pool): Boolean {
-        val mayBecomeUsable = view.mayBecomeUsable(now(), tuning.reconnectGraceMilliseconds)
-        val servesPool =
-            if (mayBecomeUsable) {
-                bundledPools(view)?.contains(pool) == true
-            } else {
-                view.isUsable &&
-                    pool in view.pools
-            }
-        return servesPool && isInService(view)
-    }
-
-    private fun candidatesFor(request: WaitingRequest): List<Candidate> =
-        views.values
-            .filter { it.isUsable && request.pool in it.pools && isInService(it) }
-            .map { it.candidateFor(request, now()) }
-
-    private fun isInService(view: TargetView): Boolean =
-        view.link.record.instance !in leaving && bundles.current.value?.isInService(view.target) == true
-
     private fun now() = clock.nowMilliseconds()
-
-    private fun bundledPools(view: TargetView) =
-        bundles.current.value
-            ?.targets
-            ?.get(view.target)
-            ?.pools
 }
 
 /** Returns the limits of [organisation]; all zero when it is not in the bundle. */
