--- a/review/standins-3/ManyUsers.java
+++ b/review/standins-3/ManyUsers.java
@@ -19,17 +19,17 @@
     private static final int TIMEOUT = 2_000;
     private static final int DEADLINE = 6_000;
     private static final int CLIENTS = 18;
-    private static final int USERS_COME_MS = 5_000;
+    private static final int PAUSE_MS = 400;
 
-    /** How many users come. */
-    private static final int USERS = Integer.getInteger("users");
+    /** The users of the burst, and those that come after it at the usual rate. */
+    private static final int BURST_USERS = 775;
+    private static final int BURST_MS = 5_000;
+    private static final int LATER_USERS = 231;
+    private static final int LATER_MS = 3_000;
+    private static final int BODY = 110_000;
 
-    /** The size of each user's body. */
-    private static final int BODY = Integer.getInteger("body");
-
-    /** For how long each user leaves its connection open and idle after the answer. */
-    private static final int KEPT_MS = Integer.getInteger("keptMs");
-    private static final int AFTER_MS = 12_000;
+    /** Four fifths of idle-timeout-ms: for how long each user leaves its connection open and idle after the answer. */
+    private static final int KEPT_MS = 12_000;
     private static final int MOST_LOST = 3;
 
     private final Lab lab;
@@ -71,18 +71,16 @@
             clients[each] = Lab.start(() -> keepAsking("kept-" + number));
         }
         Lab.sleep(5_000);
-        if (lab.hasTrouble) {
-            Random random = new Random(11);
-            for (int each = 0; each < USERS; each++) {
-                int number = each;
-                long start = random.nextInt(USERS_COME_MS);
-                Lab.start(() -> {
-                    Lab.sleep(start);
-                    comeOnce("user-" + number);
-                });
-            }
+        Random random = new Random(11);
+        for (int each = lab.hasTrouble ? 0 : BURST_USERS; each < BURST_USERS + LATER_USERS; each++) {
+            int number = each;
+            long start = each < BURST_USERS ? random.nextInt(BURST_MS) : BURST_MS + random.nextInt(LATER_MS);
+            Lab.start(() -> {
+                Lab.sleep(start);
+                comeOnce("user-" + number);
+            });
         }
-        Lab.sleep(USERS_COME_MS + AFTER_MS);
+        Lab.sleep(BURST_MS + LATER_MS + KEPT_MS);
         isOver = true;
         for (Thread each : clients) each.join(2 * DEADLINE);
         judge();
@@ -114,6 +112,7 @@
                 lab.record(id + (passedOn.contains(id) ? ", which a worker has run, " : ", which has not run, ")
                     + ends.get(id));
                 if (!ends.get(id).startsWith("answered")) return;
+                Lab.sleep(PAUSE_MS);
             }
         }
     }
