Decide in one place where a request ends, and read nothing after one that leaves it in doubt

Cause: the decoder of the HTTP library alone decided where a request ends, and it is lenient. With both headers it drops the length; a last coding other than chunked is read as an empty body; sizes of chunks beyond its number type wrap. So a balancer and this process may end a request at different places, and what one takes for a body is a request to the other.

Change: RequestFraming decides from the head, by the table in its KDoc, and MessageReader finds the end in the bytes, both without I/O. RequestFramingGuard stands before the decoder of all listeners of the gateway, passes on only what is decided, and discards all that follows a doubtful request, also what came in the same read. Such a request gets 400, 413, 431, 501 or 505, and its connection is closed. Malformed chunks get 400 where the connection was closed without an answer. Why it works: the decoder never sees bytes that it could read otherwise than the table does.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopyExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopyExchange.kt
@@ -21,6 +21,7 @@
 import kotlinx.serialization.protobuf.ProtoNumber
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.Clock
+import toucanrelay.http.RequestFramingGuard
 import toucanrelay.platform.StoreRow
 import toucanrelay.platform.StoreVersion
 
@@ -59,6 +60,7 @@
     suspend fun listen(address: TargetAddress) {
         vertx
             .createHttpServer(HttpServerOptions().setIdleTimeout(IDLE_TIMEOUT_SECONDS))
+            .connectionHandler { RequestFramingGuard.attachTo(it) }
             .requestHandler { answer(it) }
             .listen(address.port, address.host)
             .coAwait()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -13,8 +13,10 @@
 import toucanrelay.core.overload.OverloadWithdrawal
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.Clock
-import toucanrelay.gateway.body.ConnectionChannels
 import toucanrelay.gateway.body.ReadLimit
+import toucanrelay.http.ConnectionChannels
+import toucanrelay.http.DoubtfulBody
+import toucanrelay.http.RequestFramingGuard
 import java.util.concurrent.TimeUnit
 
 /** HTTP server for callers. */
@@ -62,6 +64,7 @@
                 .createHttpServer(options())
                 .connectionHandler { watch(it) }
                 .requestHandler { handle(it) }
+                .invalidRequestHandler { refuseInvalid(it) }
                 .listen(address.port, address.host)
                 .coAwait()
     }
@@ -70,13 +73,14 @@
     suspend fun close(maxMilliseconds: Long) {
         isDraining = true
         handler.isRefusingNew = true
-        exchanges.toList().forEach { it.cutShort(Cut.SHUTDOWN) }
+        exchanges.toList().forEach { it.cutShort(Cut.Shutdown) }
         server?.shutdown(maxMilliseconds, TimeUnit.MILLISECONDS)?.coAwait()
     }
 
     private fun watch(connection: HttpConnection) {
         ReadLimit.applyTo(ConnectionChannels.ofServer(connection))
         val opened = CallerConnection(connection)
+        RequestFramingGuard.attachTo(connection) { cutDoubtful(opened, it) }
         openByConnection[connection] = opened
         connections.recordOpened(opened)
         connection.closeHandler {
@@ -100,7 +104,7 @@
     private fun closeStalled(connection: CallerConnection) {
         val exchange = connection.newest ?: return
         if (exchange.hasEnded) return closeIdle(connection, CloseReason.IDLE_TIMEOUT)
-        exchange.cutShort(Cut.BODY_TIMEOUT)
+        exchange.cutShort(Cut.BodyTimeout)
     }
 
     private fun closeIdle(connection: CallerConnection, reason: CloseReason) {
@@ -109,15 +113,11 @@
     }
 
     private fun handle(request: HttpServerRequest) {
-        val readAt = clock.nowMilliseconds()
-        val arrivedAt = readAt - handler.queuedMilliseconds(readAt)
-        val connection = openByConnection[request.connection()] ?: CallerConnection(request.connection())
-        val responder = CallerResponder(request, connection) { isDraining || withdrawal.isWithdrawn }
-        val exchange = CallerExchange(request, connection, responder, readAt)
-        connection.newest = exchange
+        val exchange = begin(request)
+        val arrivedAt = exchange.readAtMilliseconds - handler.queuedMilliseconds(exchange.readAtMilliseconds)
         active++
         hasBeenCalled = true
-        connections.recordRequest(connection)
+        connections.recordRequest(exchange.connection)
         exchanges += exchange
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { handler.serve(exchange, arrivedAt) }
         exchange.recordJob(job)
@@ -126,10 +126,40 @@
             exchanges -= exchange
             recordEnded(exchange)
             // Covers a failure of the ending itself, after which nothing else can be said to the caller.
-            if (!exchange.hasEnded && !exchange.isDisconnected) responder.abort(CloseReason.UNEXPECTED_FAILURE)
+            if (!exchange.hasEnded && !exchange.isDisconnected) exchange.responder.abort(CloseReason.UNEXPECTED_FAILURE)
             endings.recordEnd(exchange)
+            if (exchange.cut is Cut.DoubtfulBody) closeSoon(exchange.connection)
         }
         cancelOnDisconnect(exchange, job)
+        exchange.connection.doubtfulBody?.let { cutDoubtful(exchange.connection, it) }
+    }
+
+    private fun begin(request: HttpServerRequest): CallerExchange {
+        val connection = openByConnection[request.connection()] ?: CallerConnection(request.connection())
+        val responder = CallerResponder(request, connection) { isDraining || withdrawal.isWithdrawn }
+        val exchange = CallerExchange(request, connection, responder, clock.nowMilliseconds())
+        connection.recordRequest(exchange)
+        return exchange
+    }
+
+    /** Refuses [request], which could not be decoded, and reads nothing more from its connection. */
+    private fun refuseInvalid(request: HttpServerRequest) {
+        val exchange = begin(request)
+        handler.refuseInvalid(exchange)
+        closeSoon(exchange.connection)
+    }
+
+    /** Ends the request with [body], which is the newest one unless earlier ones of its connection are still served. */
+    private fun cutDoubtful(connection: CallerConnection, body: DoubtfulBody) {
+        connection.recordDoubtful(body)
+        if (!connection.isNewestDoubtful) return
+        connection.newest?.cutShort(Cut.DoubtfulBody(body.fault))
+        if (connection.newest?.hasEnded == true) closeSoon(connection)
+    }
+
+    /** Closes [connection] once its caller had time to read the answer, which a close with unread bytes would discard. */
+    private fun closeSoon(connection: CallerConnection) {
+        vertx.setTimer(CLOSE_DELAY_MILLISECONDS) { connection.close(CloseReason.DOUBTFUL_FRAMING) }
     }
 
     /** Records the end of [exchange] as soon as its request is also read, as it need not be before a refusal. */
@@ -155,13 +185,12 @@
             .setTcpNoDelay(true)
             .setHttp2ClearTextEnabled(false)
             .setHandle100ContinueAutomatically(true)
-            .setMaxHeaderSize(MAX_HEADER_BYTES)
-            .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+            .setMaxHeaderSize(RequestFramingGuard.MAX_HEADER_BYTES)
+            .setMaxInitialLineLength(RequestFramingGuard.MAX_REQUEST_LINE_BYTES)
             .setAcceptBacklog(ACCEPT_BACKLOG)
 
     private companion object {
-        const val MAX_HEADER_BYTES = 65_536
-        const val MAX_REQUEST_LINE_BYTES = 16_384
+        const val CLOSE_DELAY_MILLISECONDS = 200L
         const val ACCEPT_BACKLOG = 1_024
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CloseReason.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CloseReason.kt
@@ -23,6 +23,9 @@
     /** Nothing has arrived on it for the configured time. */
     IDLE_TIMEOUT("idle-timeout"),
 
+    /** It is in doubt where a request on it ends, so that no further one can be read. */
+    DOUBTFUL_FRAMING("doubtful-framing"),
+
     /** The process ended. */
     SHUTDOWN("shutdown"),
     ;
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/ExchangeHandler.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/ExchangeHandler.kt
@@ -1,6 +1,8 @@
 package toucanrelay.gateway.http
 
 import com.github.michaelbull.result.getOrElse
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerRequest
 import toucanrelay.core.configuration.ConfigurationRegister
@@ -11,6 +13,7 @@
 import toucanrelay.gateway.body.IncomingBody
 import toucanrelay.gateway.body.TurnQueue
 import toucanrelay.gateway.log.EventLog
+import toucanrelay.http.DoubtfulFraming
 import toucanrelay.platform.PlatformHeaders
 import kotlin.random.Random
 
@@ -51,6 +54,20 @@
         }
     }
 
+    /** Refuses [exchange], whose request could not be decoded. */
+    fun refuseInvalid(exchange: CallerExchange) {
+        val cause = exchange.request.decoderResult().cause()
+        val refusal =
+            when (cause) {
+                is DoubtfulFraming -> Refusal.of(cause.fault)
+                is TooLongHttpLineException -> Refusal.REQUEST_LINE_TOO_LONG
+                is TooLongHttpHeaderException -> Refusal.HEADERS_TOO_LARGE
+                else -> Refusal.DOUBTFUL_FRAMING
+            }
+        log.write("request-invalid", "detail" to (cause?.message ?: cause))
+        refuse(exchange, refusal)
+    }
+
     private suspend fun readAndWork(exchange: CallerExchange, arrivedAtMilliseconds: Long) {
         val body = readBody(exchange) ?: return refuse(exchange, Refusal.BODY_TOO_LARGE)
         if (isRefusingNew) return refuse(exchange, Refusal.SHUTTING_DOWN)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/PlainPageServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/PlainPageServer.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.kotlin.coroutines.coAwait
 import toucanrelay.core.target.TargetAddress
+import toucanrelay.http.RequestFramingGuard
 
 /** A plain-text page with its HTTP status. */
 internal class PlainPage(
@@ -20,6 +21,7 @@
     suspend fun listen(address: TargetAddress) {
         vertx
             .createHttpServer(HttpServerOptions().setIdleTimeout(IDLE_TIMEOUT_SECONDS))
+            .connectionHandler { RequestFramingGuard.attachTo(it) }
             .requestHandler { request ->
                 val answer = page()
                 request
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
@@ -1,5 +1,6 @@
 package toucanrelay.gateway.http
 
+import toucanrelay.core.http.FramingFault
 import toucanrelay.core.overload.RetryDelay
 import kotlin.random.Random
 
@@ -16,12 +17,18 @@
     val isRetryable: Boolean,
 ) {
     MALFORMED("malformed", 400, false),
+
+    /** It is in doubt where the request or its body ends. */
+    DOUBTFUL_FRAMING("doubtful-framing", 400, false),
+    UNSUPPORTED_CODING("unsupported-coding", 501, false),
+    UNSUPPORTED_VERSION("unsupported-version", 505, false),
     UNKNOWN_KEY("unknown-key", 401, false),
     UNKNOWN_ROUTE("unknown-route", 404, false),
     BODY_TOO_LARGE("body-too-large", 413, false),
 
     /** The rest of the body did not arrive. */
     BODY_TIMEOUT("body-timeout", 408, false),
+    REQUEST_LINE_TOO_LONG("request-line-too-long", 414, false),
     HEADERS_TOO_LARGE("headers-too-large", 431, false),
 
     /** No configuration has been received yet. */
@@ -88,7 +95,29 @@
             else -> RetryDelay.milliseconds(maxOf(0, remainingMilliseconds), random)
         }
 
-    /** Whether the refusal may come before the end of the request's body. */
+    /** Whether the refusal may come before the end of the request's body, or its end is not known. */
     val leavesBodyUnread: Boolean
-        get() = this == BODY_TOO_LARGE || this == BODY_TIMEOUT
+        get() = this in unreadRefusals
+
+    internal companion object {
+        private val unreadRefusals =
+            setOf(
+                BODY_TOO_LARGE,
+                BODY_TIMEOUT,
+                DOUBTFUL_FRAMING,
+                UNSUPPORTED_CODING,
+                UNSUPPORTED_VERSION,
+                REQUEST_LINE_TOO_LONG,
+            )
+
+        /** Returns the refusal of a request of which [fault] leaves the end in doubt. */
+        fun of(fault: FramingFault): Refusal =
+            when (fault) {
+                FramingFault.HEAD_TOO_LARGE -> HEADERS_TOO_LARGE
+                FramingFault.CHUNK_TOO_LARGE -> BODY_TOO_LARGE
+                FramingFault.UNSUPPORTED_CODING -> UNSUPPORTED_CODING
+                FramingFault.UNSUPPORTED_VERSION -> UNSUPPORTED_VERSION
+                else -> DOUBTFUL_FRAMING
+            }
+    }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnection.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/target/TargetConnection.kt
@@ -15,10 +15,10 @@
 import kotlinx.coroutines.CompletableDeferred
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.body.BodyPart
-import toucanrelay.gateway.body.ConnectionChannels
 import toucanrelay.gateway.body.IncomingBody
 import toucanrelay.gateway.body.ReadLimit
 import toucanrelay.gateway.body.TurnQueue
+import toucanrelay.http.ConnectionChannels
 import toucanrelay.platform.PlatformHeaders
 
 /** A request as it is sent to a target. */
--- a/gateway/src/test/kotlin/toucanrelay/gateway/body/ReadLimitTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/body/ReadLimitTest.kt
@@ -19,6 +19,7 @@
 import toucanrelay.gateway.LOOPBACK
 import toucanrelay.gateway.LoopTurn
 import toucanrelay.gateway.TIMEOUT_MILLISECONDS
+import toucanrelay.http.ConnectionChannels
 
 private const val BODY_BYTES = 4 * 1_024 * 1_024
 private val BODY = Buffer.buffer(ByteArray(BODY_BYTES))
