Guard the daemon's callers and targets against messages that leave their end in doubt

Change: RequestFramingGuard stands before the decoder of the callers' and the operators' server, AnswerFramingCheck before that of an agent's connection to its target.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/agent/target/ResponseBody.kt
@@ -10,6 +10,8 @@
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
 import toucanrelay.core.http.ResponseStatus
+import toucanrelay.http.AnswerFramingCheck
+import toucanrelay.http.ConnectionChannels
 import toucanrelay.wire.Head
 import toucanrelay.wire.Header
 import java.io.IOException
@@ -52,6 +54,7 @@
     private var isSent = false
 
     init {
+        checkFraming()
         request.response().map { ResponseBody(request, it) { isSent } }.onComplete { result ->
             val body = result.result()
             this.body = body
@@ -61,6 +64,13 @@
         sent.onSuccess { isSent = true }
     }
 
+    /** Fails the connection, which carries only this request, if it is in doubt where the answer ends. */
+    private fun checkFraming() {
+        val check = AnswerFramingCheck()
+        check.attach(ConnectionChannels.ofClient(request.connection()).pipeline())
+        check.recordRequest(request.method)
+    }
+
     private fun readHead(body: ResponseBody): ReadResult<ResponseBody> =
         if (ResponseStatus.isFinal(body.status)) {
             ReadResult.Received(body)
--- a/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/CallerServer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/entry/http/CallerServer.kt
@@ -22,6 +22,7 @@
 import toucanrelay.core.refusal.RefusalReason
 import toucanrelay.daemon.entry.dispatch.EntryComponents
 import toucanrelay.daemon.settings.EntrySettings
+import toucanrelay.http.RequestFramingGuard
 import java.util.concurrent.atomic.AtomicLong
 
 /** The HTTP server for callers. */
@@ -54,6 +55,7 @@
         server =
             shared.context.vertx
                 .createHttpServer(options())
+                .connectionHandler { RequestFramingGuard.attachTo(it) }
                 .requestHandler(router(shared.context.vertx))
                 .invalidRequestHandler { refuseInvalid(it) }
                 .listen(settings.callers.port, settings.callers.host)
--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/OperatorsServer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/OperatorsServer.kt
@@ -10,6 +10,7 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.serialization.json.Json
 import toucanrelay.daemon.settings.ListenAddress
+import toucanrelay.http.RequestFramingGuard
 import toucanrelay.store.bundle.BundleError
 
 /** HTTP server for metrics, health checks and the direct upload of bundles by operators. */
@@ -26,6 +27,7 @@
         val started =
             vertx
                 .createHttpServer()
+                .connectionHandler { RequestFramingGuard.attachTo(it) }
                 .requestHandler(router())
                 .listen(address.port, address.host)
                 .coAwait()
--- a/daemon/src/test/kotlin/toucanrelay/daemon/agent/target/BrokenServiceTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/agent/target/BrokenServiceTest.kt
@@ -87,4 +87,17 @@
                 }
             }
         }
+
+        // Guards against a part of an answer that is told to be a whole one.
+        describe("a plain service with an answer whose end is in doubt") {
+            listOf(
+                "Transfer-Encoding: chunked\r\n\r\n100000000\r\n\r\nwhole\r\n0\r\n\r\n",
+                "Transfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked, gzip\r\n\r\nwhole",
+            ).forEach { answer ->
+                it("has not answered: ${answer.filter { !it.isWhitespace() }}") {
+                    shouldBeLost(outcomeOf("x", "HTTP/1.1 200 OK\r\n$answer") { it.shutdownOutput() })
+                }
+            }
+        }
     })
--- a/daemon/src/test/kotlin/toucanrelay/daemon/entry/BadInputTest.kt
+++ b/daemon/src/test/kotlin/toucanrelay/daemon/entry/BadInputTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldMatch
+import io.kotest.matchers.string.shouldNotContain
 import io.kotest.matchers.string.shouldStartWith
 import toucanrelay.core.bundle.OrganisationLimits
 import kotlin.time.Duration.Companion.seconds
@@ -58,6 +59,11 @@
         BadCall("an unknown path", 404, "unknown-pool", path = "/v2/none"),
     )
 
+/** Returns the head of a call with [fields] on a connection that may carry more calls. */
+private fun rawHead(vararg fields: String): String =
+    "POST $CHAT HTTP/1.1\r\nHost: relay\r\nAuthorization: Bearer $KEY_OF_MILL\r\n" +
+        fields.joinToString("") { "$it\r\n" } + "\r\n"
+
 private suspend fun withSmallLimits(
     tuning: EntryTuning = EntryTuning(),
     test: suspend (FakeAgent, RunningEntry) -> Unit,
@@ -129,6 +135,25 @@
             }
         }
 
+        // Guards against a request inside another one that is served, as two readers find the end of the outer one apart.
+        describe("a request with another one in a body whose end is in doubt") {
+            val inner = rawPost(chatBody(false, 5))
+            val body = "0\r\n\r\n$inner"
+            mapOf(
+                "a length and a coding" to
+                    rawHead("Content-Length: ${body.length}", "Transfer-Encoding: chunked") + body,
+                "a coding after chunked" to rawHead("Transfer-Encoding: chunked, identity") + body,
+                "a chunk of 33 bits" to rawHead("Transfer-Encoding: chunked") + "100000000\r\n\r\n" + inner,
+            ).forEach { (what, text) ->
+                it("ends with its connection: $what") {
+                    withSmallLimits { agent, entry ->
+                        entry.caller.raw(text) shouldNotContain "HTTP/1.1 2"
+                        agent.served.size shouldBe 0
+                    }
+                }
+            }
+        }
+
         describe("a request above the organisation's limit of waiting requests") {
             it("is refused immediately with Retry-After") {
                 withSmallLimits { agent, entry ->
