Bound digests by their encoded bytes, whatever prompts callers send

Cause: a digest was one datagram, and the prompts in it decided its size. Beyond 65,507 bytes sending fails, nobody looked at the result, and all else in the digest was lost with it.

Change: DigestEncoder bounds datagrams to 4,096 bytes. A longer digest is sent in parts, first what others rely on, then prompt reads in two datagrams at most; DigestParts joins them at the receiver. PromptPartId cuts ids to 32 characters where they are read, and of a prompt 64 parts are told. Sends that fail and entries without place are counted and logged. Why it works: nothing that callers choose has a part in the size of what must arrive.

--- a/core/src/main/kotlin/toucanrelay/core/quarantine/Suspect.kt
+++ b/core/src/main/kotlin/toucanrelay/core/quarantine/Suspect.kt
@@ -1,5 +1,7 @@
 package toucanrelay.core.quarantine
 
+import toucanrelay.core.placement.PromptPartId
+
 /** What targets may have crashed on; its text form is that of the log and the settings. */
 public sealed interface Suspect {
     /** Identifier among the suspects of the same kind. */
@@ -26,7 +28,7 @@
         /** Returns the suspect with the text form [text], or null if it is not valid. */
         public fun parse(text: String): Suspect? =
             when {
-                text.startsWith(PART_PREFIX) -> PromptPart(text.removePrefix(PART_PREFIX))
+                text.startsWith(PART_PREFIX) -> PromptPart(PromptPartId.of(text.removePrefix(PART_PREFIX)))
                 text.startsWith(REQUEST_PREFIX) -> Request(text.removePrefix(REQUEST_PREFIX))
                 else -> null
             }?.takeIf { it.id.isNotEmpty() }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/DigestSender.kt
@@ -28,7 +28,15 @@
     private val statedLimits = StatedLimitExchange(components.statedLimits, components.clock)
     private val leavingRuns = LeavingRunExchange(components.leavingStatements)
     private val streamOrigins = StreamOriginExchange(components.streamMemory, components.clock)
-    private val memberExchange = MemberExchange(components.vertx, components.fleet, components.log, ::receive)
+    private val memberExchange =
+        MemberExchange(
+            components.vertx,
+            components.clock,
+            components.fleet,
+            components.log,
+            components.meters,
+            ::receive,
+        )
     private var sequence = 0L
     private var hasUnappliedDigests = false
 
@@ -40,13 +48,17 @@
     /** Sends the current state to the members of this region, and less often to those of other regions. */
     fun send() {
         sequence++
-        memberExchange.send(digest(components.recentReads.takeForOwnRegion()), components.fleet.ownRegionAddresses)
+        val reads = components.recentReads
+        reads.returnForOwnRegion(send(reads.takeForOwnRegion(), components.fleet.ownRegionAddresses))
         val otherRegions = components.fleet.otherRegionAddresses
         if (otherRegions.isNotEmpty() && sequence % SENDS_PER_OTHER_REGION_SEND == 0L) {
-            memberExchange.send(digest(components.recentReads.takeForOtherRegions()), otherRegions)
+            reads.returnForOtherRegions(send(reads.takeForOtherRegions(), otherRegions))
         }
     }
 
+    private fun send(reads: List<PromptReadEntry>, receivers: List<TargetAddress>): List<PromptReadEntry> =
+        memberExchange.send(digest(reads), receivers)
+
     /** Applies the digests received since the last call. */
     fun applyReceived() {
         if (!hasUnappliedDigests) return
--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayMeters.kt
@@ -1,6 +1,7 @@
 package toucanrelay.gateway
 
 import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.DistributionSummary
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Tags
 import io.micrometer.core.instrument.Timer
@@ -37,6 +38,16 @@
 
     /** Counter of back-offs that targets asked for. */
     val targetBackoffs: Counter = Counter.builder("toucanrelay_target_backoffs").register(registry)
+
+    /** Sizes of the datagrams of digests that were sent to one or several members. */
+    val digestBytes: DistributionSummary =
+        DistributionSummary.builder("toucanrelay_digest_datagrams").baseUnit("bytes").register(registry)
+
+    /** Counter of datagrams of digests that could not be sent to a member. */
+    val unsentDigests: Counter = Counter.builder("toucanrelay_unsent_digests").register(registry)
+
+    /** Counter of entries that had no place in a digest although others rely on them. */
+    val droppedDigestEntries: Counter = Counter.builder("toucanrelay_dropped_digest_entries").register(registry)
     private val leavingTargets =
         LeavingSource.entries.associateWith {
             counter("toucanrelay_leaving_targets", "source", it.name.lowercase())
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/CrashEvidenceExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/CrashEvidenceExchange.kt
@@ -48,7 +48,6 @@
         TargetRun(TargetId(entry.target), Incarnation(entry.incarnation), TargetAddress(entry.host, entry.port))
 
     private companion object {
-        /** Keeps a digest within one datagram. */
         const val MAX_SUSPECTS_PER_DIGEST = 16
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/DigestCheck.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/DigestCheck.kt
@@ -3,6 +3,9 @@
 /** Largest number that a digest may contain, so that sums over many entries stay within their types. */
 private const val MAX_NUMBER = 1_000_000_000_000_000
 
+/** Largest number of a part, which bounds what is kept of a member. */
+private const val MAX_PART = 63
+
 private val numbers = 0..MAX_NUMBER
 
 /**
@@ -29,6 +32,8 @@
         streamOrigins = streamOrigins.filter { origin -> origin.streams.all { it.remainingMilliseconds in numbers } },
         versions = versions.filter { it.agoMilliseconds in numbers && it.ageMilliseconds in numbers },
         knowsVersions = knowsVersions,
+        part = part.coerceIn(0, MAX_PART),
+        parts = parts.coerceIn(1, MAX_PART + 1),
     )
 
 private fun TargetLoadEntry.isUsable() =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -31,8 +31,12 @@
         var incarnation: Long,
         var lastSeenAtMilliseconds: Long,
     ) {
-        var digest: MemberDigest? = null
+        val parts = DigestParts()
         var offersIgnoredUntilMilliseconds = Long.MIN_VALUE
+
+        /** The newest part of the member's digests, which says how it is itself. */
+        val digest: MemberDigest?
+            get() = parts.newest
     }
 
     private class ExpiredMember(
@@ -124,7 +128,7 @@
         return TableOffer(instance, member.address, age + penalty)
     }
 
-    /** Records [digest], which [address] sent, and returns whether it is newer than the known one. */
+    /** Records [digest], or a part of one, which [address] sent; returns whether it is newer than what is known. */
     fun recordDigest(digest: MemberDigest, address: TargetAddress): Boolean {
         val instance = InstanceId(digest.instance)
         if (instance == self) return false
@@ -132,7 +136,7 @@
         expired.remove(instance)
         val member = members.getOrPut(instance) { Member(address, digest.incarnation, now) }
         if (isOlder(digest, member)) return false
-        member.digest = digest
+        member.parts.record(digest, now)
         member.incarnation = digest.incarnation
         member.lastSeenAtMilliseconds = now
         return true
@@ -140,7 +144,7 @@
 
     /** Returns the load that all other live members have at each target. */
     fun loads(): Map<TargetId, OthersLoad> =
-        liveDigests()
+        liveParts()
             .flatMap { it.loads }
             .groupBy { TargetId(it.target) }
             .mapValues { (_, entries) -> OthersLoad.sum(entries) }
@@ -154,14 +158,14 @@
     fun demands(service: String, ownPerSecond: Double): Map<InstanceId, Double> {
         val oldest = clock.nowMilliseconds() - DEMAND_VALIDITY_MILLISECONDS
         val known = members.filterValues { it.lastSeenAtMilliseconds >= oldest }
-        return known.mapValues { (_, member) -> member.digest?.demandFor(service) ?: ownPerSecond } +
+        return known.mapValues { (_, member) -> member.demandFor(service) ?: ownPerSecond } +
             (self to ownPerSecond)
     }
 
     /** Returns the usage of each organisation at all other live members. */
     fun usage(): Map<UsageKey, UsageRate> {
         val usage = HashMap<UsageKey, UsageRate>()
-        liveDigests().flatMap { it.usage }.forEach { entry ->
+        liveParts().flatMap { it.usage }.forEach { entry ->
             val key = UsageKey(OrganisationId(entry.organisation), entry.regions.mapTo(HashSet()) { RegionId(it) })
             val rate = UsageRate(entry.demanded.toDouble(), entry.served.toDouble())
             usage.merge(key, rate, UsageRate::plus)
@@ -171,15 +175,20 @@
 
     /** Returns the tokens per second that the engines of each region serve to all other live members. */
     fun servedByRegion(): Map<RegionId?, Double> =
-        liveDigests()
+        liveParts()
             .flatMap { it.servedByRegion }
             .groupBy { entry -> entry.region.takeIf { it.isNotEmpty() }?.let { RegionId(it) } }
             .mapValues { (_, entries) -> entries.sumOf { it.served.toDouble() } }
 
-    private fun MemberDigest.demandFor(service: String): Double =
-        demand.find { it.service == service }?.requestsPerSecond?.toDouble() ?: 0.0
+    private fun Member.demandFor(service: String): Double? =
+        digest?.let {
+            parts.demand
+                .find { it.service == service }
+                ?.requestsPerSecond
+                ?.toDouble() ?: 0.0
+        }
 
-    private fun liveDigests(): List<MemberDigest> = members.values.filter { isLive(it) }.mapNotNull { it.digest }
+    private fun liveParts(): List<DigestParts> = members.values.filter { isLive(it) }.map { it.parts }
 
     private fun isLive(member: Member) =
         clock.nowMilliseconds() - member.lastSeenAtMilliseconds <= LIVENESS_TIMEOUT_MILLISECONDS
@@ -190,14 +199,14 @@
     }
 
     /**
-     * Returns whether [digest] was sent before the known one of [member].
+     * Returns whether [digest] was sent before what is known of [member].
      *
      * A run is numbered by the wall clock, which may have been set back before it started, so a lower number is also that
      * of a new run once the known one is silent.
      */
     private fun isOlder(digest: MemberDigest, member: Member): Boolean {
         val known = member.digest ?: return false
-        if (digest.incarnation == known.incarnation) return digest.sequence <= known.sequence
+        if (digest.incarnation == known.incarnation) return member.parts.isOutdated(digest)
         val silence = clock.nowMilliseconds() - member.lastSeenAtMilliseconds
         return digest.incarnation < known.incarnation && silence < MAX_DATAGRAM_DELAY_MILLISECONDS
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/LeavingRunExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/LeavingRunExchange.kt
@@ -19,7 +19,6 @@
     }
 
     private companion object {
-        /** Keeps a digest within one datagram. */
         const val MAX_RUNS_PER_DIGEST = 64
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/MemberDigest.kt
@@ -162,6 +162,8 @@
  * @property isReady whether the member tells the load balancer that it takes new connections.
  * @property knowsVersions whether the member knows the software versions that were in service before it started.
  * @property tables copies of tables that other members can read.
+ * @property part zero-based number of this part of the digest; each part has the fields that are no lists of entries.
+ * @property parts number of the digest's parts.
  */
 @Serializable
 internal class MemberDigest(
@@ -183,4 +185,6 @@
     @ProtoNumber(16) val streamOrigins: List<StreamOriginsEntry> = emptyList(),
     @ProtoNumber(17) val versions: List<ServiceVersionEntry> = emptyList(),
     @ProtoNumber(18) val knowsVersions: Boolean = false,
+    @ProtoNumber(19) val part: Int = 0,
+    @ProtoNumber(20) val parts: Int = 1,
 )
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/RecentPromptReads.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/RecentPromptReads.kt
@@ -8,26 +8,57 @@
     private val unsentToOwnRegion = LinkedHashSet<PromptReadEntry>()
     private val unsentToOtherRegions = LinkedHashSet<PromptReadEntry>()
 
-    /** Queues [sharedParts], which [target] is reading or has cached. */
+    /** Queues [sharedParts], which [target] is reading or has cached; the oldest entries give way to them. */
     fun record(target: TargetId, sharedParts: List<PromptPart>) {
-        if (sharedParts.isEmpty()) return
-        val entry = PromptReadEntry(target.value, sharedParts.map { PromptPartEntry(it.id, it.tokens) })
-        if (unsentToOwnRegion.size < MAX_QUEUED_ENTRIES) unsentToOwnRegion += entry
-        if (unsentToOtherRegions.size < MAX_QUEUED_ENTRIES) unsentToOtherRegions += entry
+        val parts = sharedParts.take(MAX_PARTS_PER_PROMPT).map { PromptPartEntry(it.id, it.tokens) }
+        val entries = parts.chunked(MAX_PARTS_PER_ENTRY).map { PromptReadEntry(target.value, it) }
+        queue(entries, unsentToOwnRegion)
+        queue(entries, unsentToOtherRegions)
     }
 
-    /** Removes and returns the oldest entries for members of this process's region, as many as fit in a digest. */
+    /** Removes and returns the oldest entries for members of this process's region. */
     fun takeForOwnRegion(): List<PromptReadEntry> = take(unsentToOwnRegion)
 
-    /** Removes and returns the oldest entries for members of other regions, as many as fit in a digest. */
+    /** Removes and returns the oldest entries for members of other regions. */
     fun takeForOtherRegions(): List<PromptReadEntry> = take(unsentToOtherRegions)
 
-    private fun take(entries: LinkedHashSet<PromptReadEntry>): List<PromptReadEntry> =
-        entries.take(MAX_ENTRIES_PER_DIGEST).also { entries.removeAll(it.toSet()) }
+    /** Queues [entries] for members of this process's region again, which were taken and not sent. */
+    fun returnForOwnRegion(entries: List<PromptReadEntry>) = putBack(entries, unsentToOwnRegion)
+
+    /** Queues [entries] for members of other regions again, which were taken and not sent. */
+    fun returnForOtherRegions(entries: List<PromptReadEntry>) = putBack(entries, unsentToOtherRegions)
+
+    private fun queue(entries: List<PromptReadEntry>, queue: LinkedHashSet<PromptReadEntry>) {
+        queue += entries
+        removeOldest(queue)
+    }
+
+    private fun putBack(entries: List<PromptReadEntry>, queue: LinkedHashSet<PromptReadEntry>) {
+        if (entries.isEmpty()) return
+        val newer = queue.toList()
+        queue.clear()
+        queue += entries
+        queue += newer
+        removeOldest(queue)
+    }
+
+    private fun removeOldest(queue: LinkedHashSet<PromptReadEntry>) {
+        val oldestFirst = queue.iterator()
+        repeat(queue.size - MAX_QUEUED_ENTRIES) {
+            oldestFirst.next()
+            oldestFirst.remove()
+        }
+    }
+
+    private fun take(queue: LinkedHashSet<PromptReadEntry>): List<PromptReadEntry> =
+        queue.toList().also { queue.clear() }
 
     private companion object {
-        /** Keeps a digest within one datagram. */
-        const val MAX_ENTRIES_PER_DIGEST = 60
+        /** Parts after these are not told, since a prompt of very many parts would displace all others. */
+        const val MAX_PARTS_PER_PROMPT = 64
+
+        /** Longer prompts are divided, so that prompts that begin alike have entries in common. */
+        const val MAX_PARTS_PER_ENTRY = 16
 
         /** Entries beyond this are dropped; later requests with the same parts queue them again. */
         const val MAX_QUEUED_ENTRIES = 240
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/StatedLimitExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/StatedLimitExchange.kt
@@ -34,7 +34,6 @@
     }
 
     private companion object {
-        /** Keeps a digest within one datagram. */
         const val MAX_STATEMENTS_PER_DIGEST = 64
     }
 }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/StreamOriginExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/StreamOriginExchange.kt
@@ -54,7 +54,6 @@
     private fun versionOf(service: String, version: String) = ServiceVersion(service, SoftwareVersion(version))
 
     private companion object {
-        /** Keeps a digest within one datagram. */
         const val MAX_STREAMS_PER_DIGEST = 500
     }
 }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/VersionedFleetFixture.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/VersionedFleetFixture.kt
@@ -40,6 +40,7 @@
     suspend fun start(gateways: Int = 1) {
         fleet.targets.zip(versions).forEach { (target, version) -> target.version = version }
         fleet.start(TargetScript { request, received, target -> respond(request, received, target) }) {
+            maxHeaderBytes = MAX_HEADER_BYTES
             route("/streams/", GatewayFleetFixture.SERVICE, "streaming", isResumable = true)
             route("/once/", GatewayFleetFixture.SERVICE, "streaming", isResumable = true, attempts = 1)
             route("/calls/", GatewayFleetFixture.SERVICE, "idempotent")
@@ -108,6 +109,9 @@
         lastEventId: Int = stream.lastEventId,
     ): ReceivedResponse = fleet.send(gateway, "/once/x", takeUp = StreamTakeUp(lastEventId, stream.requestId))
 
+    /** Sends a request whose prompt has [parts] to the gateway with index [gateway]. */
+    suspend fun call(parts: List<String>, gateway: Int = 0): ReceivedResponse = fleet.send(gateway, "/calls/x", parts)
+
     /** Forgets the requests that the targets have received. */
     fun forgetReceived() = targets.forEach { it.receivedRequests.clear() }
 
@@ -129,6 +133,7 @@
         /** Time after which each of several versions begins streams. */
         private const val SETTLED_MILLISECONDS = 2_700L
         private const val STORED_MILLISECONDS = 2_500L
+        private const val MAX_HEADER_BYTES = 32_768
         private const val ENGINE_MEMORY_TOKENS = 100_000L
         private val DATA = Regex("data: (\\S+)")
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/member/MemberExchangeTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/member/MemberExchangeTest.kt
@@ -17,6 +17,7 @@
 import toucanrelay.core.identity.InstanceId
 import toucanrelay.core.target.TargetAddress
 import toucanrelay.core.time.MonotonicClock
+import toucanrelay.gateway.GatewayMeters
 import toucanrelay.gateway.log.EventLog
 import java.net.DatagramSocket
 import kotlin.random.Random
@@ -34,7 +35,8 @@
                 val view = FleetView(InstanceId("self"), null, MonotonicClock) { null }
                 val received = CompletableDeferred<Unit>()
                 val log = EventLog(MonotonicClock, isWritten = false)
-                val exchange = MemberExchange(vertx, view, log) { received.complete(Unit) }
+                val exchange =
+                    MemberExchange(vertx, MonotonicClock, view, log, GatewayMeters()) { received.complete(Unit) }
                 val port = DatagramSocket(0).use { it.localPort }
                 exchange.listen(TargetAddress(LOOPBACK, port))
                 val demand = listOf(ServiceDemandEntry("s", Float.NaN), ServiceDemandEntry("s", 2f))
