--- a/gateway/src/test/kotlin/toucanrelay/gateway/GeneratedRequestsTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/GeneratedRequestsTest.kt
@@ -3,10 +3,11 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import io.netty.buffer.Unpooled
 import toucanrelay.core.http.MessageReader
-import toucanrelay.core.http.ReceivedBytes
 import toucanrelay.core.http.RequestFraming
 import toucanrelay.gateway.http.RawCaller
+import toucanrelay.http.ReceivedBuffer
 import toucanrelay.platform.standin.ConfigurationDocumentBuilder
 import java.net.SocketException
 import kotlin.random.Random
@@ -75,9 +76,10 @@
         fun of(text: String): Reading {
             val ids = ArrayList<String>()
             var position = 0
-            while (position < text.length) {
+            val received = ReceivedBuffer(Unpooled.copiedBuffer(text, Charsets.ISO_8859_1))
+            while (position < received.size) {
                 val reader = MessageReader(MAX_HEAD_BYTES) { RequestFraming.of(it) }
-                position = reader.read(Received(text), position)
+                position = reader.read(received, position)
                 if (!reader.isComplete) return Reading(ids, reader.fault != null)
                 ids += checkNotNull(reader.head).values("X-Request-Id").single()
             }
@@ -86,16 +88,6 @@
     }
 }
 
-private class Received(
-    private val text: String,
-) : ReceivedBytes {
-    override val size: Int = text.length
-
-    override fun indexOfLineFeed(start: Int): Int = text.indexOf('\n', start)
-
-    override fun text(start: Int, end: Int): String = text.substring(start, end)
-}
-
 /** Guards against bytes that the gateway takes for other requests than the one reading that its table allows. */
 class GeneratedRequestsTest :
     DescribeSpec({
