--- a/http/src/main/kotlin/toucanrelay/http/RequestFramingGuard.kt
+++ b/http/src/main/kotlin/toucanrelay/http/RequestFramingGuard.kt
@@ -78,7 +78,7 @@
     }
 
     private fun hold(context: ChannelHandlerContext, bytes: ByteBuf) {
-        if (!held.isReadable) held = context.alloc().buffer(bytes.readableBytes())
+        if (!held.isReadable) held = context.alloc().heapBuffer(bytes.readableBytes())
         held.writeBytes(bytes)
     }
 
