Tell callers that their connection ends after a doubtful request, and take nothing from late parts for news of a member

A head without end got 431 without "Connection: close", so a caller might have sent a request on the connection that nobody reads any more: CallerConnection knows now whether the newest request is the last one. And a part of an earlier digest that arrived late made a member look alive, and the ages of its copies younger: it does not count as a sign of life any more.

Measured: the new tests of RequestFramingTest and FleetViewTest pass; they were not run before the change.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerConnection.kt
@@ -19,10 +19,16 @@
     var doubtfulBody: DoubtfulBody? = null
         private set
 
+    private var hasInvalidRequest = false
+
     /** Whether the request that was begun last is [doubtfulBody]. */
     val isNewestDoubtful: Boolean
         get() = doubtfulBody?.requestNumber == requests
 
+    /** Whether no request is read from the connection after the one that was begun last. */
+    val isNewestLast: Boolean
+        get() = hasInvalidRequest || isNewestDoubtful
+
     /** Why this process has closed the connection; null if it has not. */
     var closeReason: CloseReason? = null
         private set
@@ -33,6 +39,11 @@
         requests++
     }
 
+    /** Records that the request that was begun last could not be decoded. */
+    fun recordInvalid() {
+        hasInvalidRequest = true
+    }
+
     /** Records that the end of [body] is in doubt. */
     fun recordDoubtful(body: DoubtfulBody) {
         doubtfulBody = body
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerResponder.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerResponder.kt
@@ -12,7 +12,7 @@
 internal class CallerResponder(
     request: HttpServerRequest,
     private val connection: CallerConnection,
-    private val isShuttingDown: () -> Boolean,
+    private val closesAfterAnswer: () -> Boolean,
 ) {
     private val response: HttpServerResponse = request.response()
 
@@ -66,7 +66,7 @@
         response.statusCode = refusal.status
         requestId?.let { PlatformHeaders.setRequestId(response.headers(), it) }
         retryAfterMilliseconds?.let { response.putHeader("Retry-After", secondsOf(it)) }
-        if (isShuttingDown() || refusal.leavesBodyUnread) response.putHeader("Connection", "close")
+        if (closesAfterAnswer() || refusal.leavesBodyUnread) response.putHeader("Connection", "close")
         response.putHeader("Content-Type", "text/plain")
         end(Buffer.buffer(refusal.label + "\n"))
     }
@@ -80,7 +80,7 @@
     private fun begin(status: Int, targetHeaders: MultiMap) {
         response.statusCode = status
         response.headers().addAll(PlatformHeaders.buildCallerResponse(targetHeaders))
-        if (isShuttingDown()) response.putHeader("Connection", "close")
+        if (closesAfterAnswer()) response.putHeader("Connection", "close")
     }
 
     private fun end(lastBytes: Buffer) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/CallerServer.kt
@@ -136,7 +136,11 @@
 
     private fun begin(request: HttpServerRequest): CallerExchange {
         val connection = openByConnection[request.connection()] ?: CallerConnection(request.connection())
-        val responder = CallerResponder(request, connection) { isDraining || withdrawal.isWithdrawn }
+        val responder =
+            CallerResponder(request, connection) {
+                isDraining || withdrawal.isWithdrawn ||
+                    connection.isNewestLast
+            }
         val exchange = CallerExchange(request, connection, responder, clock.nowMilliseconds())
         connection.recordRequest(exchange)
         return exchange
@@ -145,6 +149,7 @@
     /** Refuses [request], which could not be decoded, and reads nothing more from its connection. */
     private fun refuseInvalid(request: HttpServerRequest) {
         val exchange = begin(request)
+        exchange.connection.recordInvalid()
         handler.refuseInvalid(exchange)
         closeSoon(exchange.connection)
     }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/Refusal.kt
@@ -95,21 +95,11 @@
             else -> RetryDelay.milliseconds(maxOf(0, remainingMilliseconds), random)
         }
 
-    /** Whether the refusal may come before the end of the request's body, or its end is not known. */
+    /** Whether the refusal may come before the end of the request's body. */
     val leavesBodyUnread: Boolean
-        get() = this in unreadRefusals
+        get() = this == BODY_TOO_LARGE || this == BODY_TIMEOUT
 
     internal companion object {
-        private val unreadRefusals =
-            setOf(
-                BODY_TOO_LARGE,
-                BODY_TIMEOUT,
-                DOUBTFUL_FRAMING,
-                UNSUPPORTED_CODING,
-                UNSUPPORTED_VERSION,
-                REQUEST_LINE_TOO_LONG,
-            )
-
         /** Returns the refusal of a request of which [fault] leaves the end in doubt. */
         fun of(fault: FramingFault): Refusal =
             when (fault) {
--- a/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/member/FleetView.kt
@@ -138,7 +138,8 @@
         if (isOlder(digest, member)) return false
         member.parts.record(digest, now)
         member.incarnation = digest.incarnation
-        member.lastSeenAtMilliseconds = now
+        // A late part of an earlier digest says nothing of the member now.
+        if (member.digest === digest) member.lastSeenAtMilliseconds = now
         return true
     }
 
--- a/gateway/src/test/kotlin/toucanrelay/gateway/RequestFramingTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/RequestFramingTest.kt
@@ -125,6 +125,19 @@
             }
         }
 
+        mapOf(
+            "a doubtful head" to DOUBTFUL_HEADS.first().text,
+            "a doubtful chunk" to DOUBTFUL_CHUNKS.first().text,
+            "a head without end" to "X-Note: ${"a".repeat(90_000)}",
+        ).forEach { (what, text) ->
+            it("is told that its connection is closed after $what") {
+                RawCaller(fixture.callersPort).use { caller ->
+                    caller.write(text)
+                    caller.read()?.headers?.get("connection") shouldBe "close"
+                }
+            }
+        }
+
         it("is refused after the answer to a sound request in the same bytes") {
             val sound = head("first", "Content-Length: 4") + "body"
             exchange(sound + DOUBTFUL_HEADS.first().text) shouldContainExactly listOf(200, 400)
--- a/gateway/src/test/kotlin/toucanrelay/gateway/member/FleetViewTest.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/member/FleetViewTest.kt
@@ -66,6 +66,30 @@
             }
         }
 
+        // Guards against copies that look younger, and members that look alive, because a part of a digest was late.
+        describe("a part of an earlier digest that arrives late") {
+            it("does not make the member's copies look younger or the member alive") {
+                fun part(sequence: Long, number: Int) =
+                    MemberDigest(
+                        "b",
+                        incarnation = 1,
+                        sequence = sequence,
+                        failureDomain = "near",
+                        tables = listOf(TableAgeEntry("targets", 100)),
+                        part = number,
+                        parts = 2,
+                    )
+                val clock = ManualClock()
+                val view = view(clock = clock)
+                view.recordDigest(part(2, number = 0), ADDRESS)
+                clock.advance(1_500)
+                view.recordDigest(part(1, number = 1), ADDRESS) shouldBe true
+                view.bestOffer("targets")?.ageMilliseconds shouldBe 1_600
+                clock.advance(1_000)
+                view.bestOffer("targets") shouldBe null
+            }
+        }
+
         describe("the load of the other members") {
             it("comes from the newest digest, whatever the order of arrival") {
                 val view = view()
