Offer no HTTP/2 where a guard reads HTTP/1 from the connection

Cause: the operators' server let Java's client change to HTTP/2 (Upgrade: h2c), and RequestFramingGuard, which is new there, took the frames for malformed lines and discarded them. The gateway's pages and the copies of tables had the same default. Callers' servers have it off.

Change: HTTP/2 is off on all servers with the guard.

--- a/daemon/src/main/kotlin/toucanrelay/daemon/shell/OperatorsServer.kt
+++ b/daemon/src/main/kotlin/toucanrelay/daemon/shell/OperatorsServer.kt
@@ -4,6 +4,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
 import io.vertx.ext.web.Router
 import io.vertx.ext.web.RoutingContext
 import io.vertx.ext.web.handler.BodyHandler
@@ -26,7 +27,7 @@
     suspend fun start(address: ListenAddress): Int {
         val started =
             vertx
-                .createHttpServer()
+                .createHttpServer(HttpServerOptions().setHttp2ClearTextEnabled(false))
                 .connectionHandler { RequestFramingGuard.attachTo(it) }
                 .requestHandler(router())
                 .listen(address.port, address.host)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopyExchange.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/follow/TableCopyExchange.kt
@@ -59,7 +59,7 @@
     /** Binds [address]. */
     suspend fun listen(address: TargetAddress) {
         vertx
-            .createHttpServer(HttpServerOptions().setIdleTimeout(IDLE_TIMEOUT_SECONDS))
+            .createHttpServer(HttpServerOptions().setHttp2ClearTextEnabled(false).setIdleTimeout(IDLE_TIMEOUT_SECONDS))
             .connectionHandler { RequestFramingGuard.attachTo(it) }
             .requestHandler { answer(it) }
             .listen(address.port, address.host)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/http/PlainPageServer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/http/PlainPageServer.kt
@@ -20,7 +20,7 @@
     /** Binds [address]. */
     suspend fun listen(address: TargetAddress) {
         vertx
-            .createHttpServer(HttpServerOptions().setIdleTimeout(IDLE_TIMEOUT_SECONDS))
+            .createHttpServer(HttpServerOptions().setHttp2ClearTextEnabled(false).setIdleTimeout(IDLE_TIMEOUT_SECONDS))
             .connectionHandler { RequestFramingGuard.attachTo(it) }
             .requestHandler { request ->
                 val answer = page()
--- a/http/src/main/kotlin/toucanrelay/http/RequestFramingGuard.kt
+++ b/http/src/main/kotlin/toucanrelay/http/RequestFramingGuard.kt
@@ -120,7 +120,7 @@
         private val FRAMING_FIELDS = setOf("content-length", "transfer-encoding", "connection", "expect", "upgrade")
 
         /**
-         * Observes [connection], from which nothing may have been read yet.
+         * Observes [connection], from which nothing may have been read yet and which cannot change to HTTP/2.
          *
          * @param onBodyFault called if the end of a request is in doubt after its head was passed on; by default, the
          *   connection is closed.
