Log what is left of the allowed time of a refused request, and how often it was tried on the targets

The line of a request refused as overloaded showed the allowed time before the time waited is taken off, and nothing told a request that no target could accept from one that was not tried again.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Admission.kt
@@ -30,6 +30,9 @@
         val request: CallerRequest = query.request
         val settled = CompletableDeferred<Unit>()
 
+        /** Number of times that the request was tried on the targets. */
+        var tries = 0
+
         /** A reservation, or the refusal if no target is left; null while the request waits. */
         var result: Result<Reservation, Unplaced>? = null
 
@@ -50,14 +53,14 @@
     suspend fun place(query: PlacementQuery): Result<Reservation, Unplaced> {
         val waiter = Waiter(query)
         if (!isPrecededByWaiters(waiter)) {
-            when (val result = placer.place(query, ::wake)) {
+            when (val result = tryToPlace(waiter)) {
                 is PlacementResult.Placed -> return Ok(result.reservation)
                 is PlacementResult.BackingOff -> unplacedByBackoff(waiter, result)?.let { return Err(it) }
                 PlacementResult.NoTarget -> return Err(Unplaced(Refusal.NO_TARGET))
                 PlacementResult.Busy -> Unit
             }
         }
-        return if (isServableInTime(waiter)) await(waiter) else Err(Unplaced(Refusal.OVERLOADED))
+        return if (isServableInTime(waiter)) await(waiter) else Err(overloaded(waiter))
     }
 
     /** Places the request of [query] on a target without waiting; returns null if that is not possible. */
@@ -112,13 +115,20 @@
             waiters.remove(waiter)
             if (!isInTime) waiter.abandon()
         }
-        return if (isInTime) checkNotNull(waiter.result) else Err(Unplaced(Refusal.OVERLOADED))
+        return if (isInTime) checkNotNull(waiter.result) else Err(overloaded(waiter))
+    }
+
+    private fun overloaded(waiter: Waiter) = Unplaced(Refusal.OVERLOADED, tries = waiter.tries)
+
+    private fun tryToPlace(waiter: Waiter): PlacementResult {
+        waiter.tries++
+        return placer.place(waiter.query, ::wake)
     }
 
     private fun drain() {
         val settled =
             PlacementPass.run(waiters.sortedWith(order), { it.request.account }) { waiter ->
-                waiter.result = resultOf(waiter, placer.place(waiter.query, ::wake))
+                waiter.result = resultOf(waiter, tryToPlace(waiter))
                 waiter.result != null
             }
         waiters.removeAll(settled.toSet())
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -116,11 +116,13 @@
         val candidates = usable.map { candidateOf(it, prompt, request.service) }
         val withRoom = candidates.filter { PlacementPolicy.hasRoom(prompt, it) }
         val unread = withRoom.minOfOrNull { it.load.unreadTokens }
-        val allowed = allowedMilliseconds(request, historyOf(query)).toInt()
+        val history = historyOf(query)
+        val allowed = allowedMilliseconds(request, history).toInt()
+        val left = remainingMilliseconds(request, history).toInt()
         val paced = serving.count { allowances.isPaced(it, request.service) }
         val backingOff = serving.count { allowances.backoffMilliseconds(it.target) > 0 }
         return "$counts paced $paced backing off $backingOff with room ${withRoom.size} " +
-            "min unread tokens $unread allowed ms $allowed"
+            "min unread tokens $unread allowed ms $allowed left ms $left"
     }
 
     /** Returns how fast engines of [service] read prompts, at first estimated from their total [tokensPerSecond]. */
@@ -141,15 +143,15 @@
 
     private fun choose(request: CallerRequest, candidates: List<Candidate>, history: RequestHistory): Placement? {
         val prompt = request.prompt ?: return PlacementPolicy.placeServiceCall(candidates, SERVICE_QUEUE_FACTOR)
+        val speed = speedOf(request.service, request.configuration.limits.tokensPerSecond)
+        return PlacementPolicy.placeModelCall(prompt, candidates, speed, remainingMilliseconds(request, history))
+    }
+
+    /** Returns what is left of the allowed time after the time that [request] has waited. */
+    private fun remainingMilliseconds(request: CallerRequest, history: RequestHistory): Double {
         val sinceArrival = clock.nowMilliseconds() - request.arrivedAtMilliseconds
         val waited = if (history == RequestHistory.INTERRUPTED) 0 else sinceArrival
-        val speed = speedOf(request.service, request.configuration.limits.tokensPerSecond)
-        return PlacementPolicy.placeModelCall(
-            prompt,
-            candidates,
-            speed,
-            allowedMilliseconds(request, history) - waited,
-        )
+        return allowedMilliseconds(request, history) - waited
     }
 
     private fun allowedMilliseconds(request: CallerRequest, history: RequestHistory): Double =
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestEnding.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/RequestEnding.kt
@@ -57,7 +57,7 @@
 
     /** Ends the request for the reason that [unplaced] gives, without a further attempt. */
     fun endUnplaced(unplaced: Unplaced) {
-        progress.detail = progress.detail ?: dependencies.placer.describeAvailability(progress.queryFor(request))
+        progress.detail = progress.detail ?: describe(unplaced)
         val failure = progress.failure
         when {
             !progress.mayHaveRun -> refuse(refusalOf(unplaced), unplaced.returnMilliseconds)
@@ -66,6 +66,9 @@
         }
     }
 
+    private fun describe(unplaced: Unplaced): String =
+        "${dependencies.placer.describeAvailability(progress.queryFor(request))} tries ${unplaced.tries}"
+
     private fun refusalOf(unplaced: Unplaced): Refusal {
         val version = progress.streamVersion ?: return unplaced.refusal
         val isGone = !dependencies.targets.isRegistered(ServiceVersion(request.service.name, version))
