Fail where a gateway tries only the oldest of the requests that wait in it

It goes through them with PlacementPass now, every 20 ms, reads requests in turns of its event loop, and prompts may differ in length and in what engines have cached of them.

--- a/core/src/test/kotlin/toucanrelay/core/overload/PlacementPassTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/overload/PlacementPassTest.kt
@@ -35,6 +35,13 @@
             }
         }
 
+        describe("a queue whose oldest requests cannot be placed any more") {
+            it("has its newer requests placed") {
+                val placed = PlacementPass.run(queue("large", 100), { it.organisation }) { it.number >= 40 }
+                placed.size shouldBe 60
+            }
+        }
+
         describe("a queue of which every second request can be placed") {
             it("is gone through to its end") {
                 val placed = PlacementPass.run(queue("large", 100), { it.organisation }) { it.number % 2 == 0 }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/FleetSimulation.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/FleetSimulation.kt
@@ -6,10 +6,14 @@
 import toucanrelay.core.placement.PromptPart
 import toucanrelay.core.placement.PromptProfile
 import toucanrelay.core.time.ManualClock
+import kotlin.math.ln
 import kotlin.random.Random
 
 internal const val OBJECTIVE_MILLISECONDS = 600L
 internal const val PROMPT_TOKENS = 4_000
+
+/** A prompt part that every engine has cached. */
+internal const val SHARED_BY_ALL = "shared"
 private const val STEP_MILLISECONDS = 10L
 private const val OWN_REGION_DIGEST_STEPS = 20
 private const val OTHER_REGION_DIGEST_STEPS = 60
@@ -30,6 +34,21 @@
     val retries: Int = 1,
 )
 
+/**
+ * A route's prompts, whose parts that are not shared have exponentially distributed lengths.
+ *
+ * @property sharedTokens tokens of the part that all requests on one of [subjects] share.
+ * @property ownTokens mean tokens of the part that is specific to a request.
+ */
+internal class PromptKind(
+    val name: String,
+    val sharedTokens: Int,
+    val subjects: Int,
+    val ownTokens: Int,
+    val outputTokens: Int,
+    val objectiveMilliseconds: Long = OBJECTIVE_MILLISECONDS,
+)
+
 /** Builds a [FleetSimulation]. */
 internal class FleetSimulationBuilder {
     /** Number of gateways, half of them in each of two regions. */
@@ -44,12 +63,18 @@
     /** Fraction of each prompt that the engines have cached. */
     var cachedFraction = 0.5
 
+    /** Routes that callers use equally often; with none, all prompts have the same length. */
+    var kinds: List<PromptKind> = emptyList()
+
     /** Configured throughput as a multiple of what the engines give. */
     var configuredFactor = 1.0
 
     /** Fraction of the digests to a gateway that are lost, by the gateway's index. */
     var lostDigests: Map<Int, Double> = emptyMap()
 
+    /** Time between two turns of a gateway's event loop, by the gateway's index; others take a turn in each step. */
+    var turnMilliseconds: Map<Int, Long> = emptyMap()
+
     /** Called at the start of each step with the simulation and its time in milliseconds. */
     var onStep: (FleetSimulation, Long) -> Unit = { _, _ -> }
     val loads = mutableListOf<CallerLoad>()
@@ -133,7 +158,10 @@
             returning.remove(caller)
             offer(caller.load, caller.retriesLeft, isRetry = true)
         }
-        gateways.forEach { it.placeWaiting(engines) }
+        gateways.forEachIndexed { index, gateway ->
+            val period = options.turnMilliseconds[index] ?: STEP_MILLISECONDS
+            if (clock.nowMilliseconds() % period == 0L) gateway.takeTurn(engines)
+        }
     }
 
     private fun arrivals(load: CallerLoad): Int {
@@ -145,7 +173,12 @@
         val allowed = load.gateways?.mapNotNull { gateways.getOrNull(it) } ?: gateways
         val gateway = allowed.random(random)
         if (!isRetry) record.recordAsked(clock.nowMilliseconds(), load.organisation)
-        gateway.accept(SimulatedRequest(load, prompt(), clock.nowMilliseconds(), isRetry) { refuse(load, retriesLeft) })
+        val kind = options.kinds.randomOrNull(random)
+        val objective = kind?.objectiveMilliseconds ?: OBJECTIVE_MILLISECONDS
+        val prompt = if (kind == null) uniformPrompt() else prompt(load, kind)
+        gateway.accept(
+            SimulatedRequest(load, prompt, objective, clock.nowMilliseconds(), isRetry) { refuse(load, retriesLeft) },
+        )
     }
 
     private fun refuse(load: CallerLoad, retriesLeft: Int) {
@@ -156,7 +189,7 @@
     }
 
     private fun recordStart(request: SimulatedRequest) {
-        record.recordServed(clock.nowMilliseconds(), request.load.organisation)
+        record.recordServed(clock.nowMilliseconds(), request.load.organisation, request.prompt.chargedTokens)
     }
 
     private fun exchangeDigests(index: Int) {
@@ -176,18 +209,27 @@
         return random.nextDouble() < fraction
     }
 
-    private fun prompt(): PromptProfile =
+    private fun uniformPrompt(): PromptProfile =
+        profile(
+            PromptPart(SHARED_BY_ALL, (PROMPT_TOKENS * options.cachedFraction).toInt()),
+            PROMPT_TOKENS - (PROMPT_TOKENS * options.cachedFraction).toInt(),
+            OUTPUT_TOKENS,
+        )
+
+    private fun prompt(load: CallerLoad, kind: PromptKind): PromptProfile {
+        val subject = "${load.organisation}-${kind.name}-${random.nextInt(kind.subjects)}"
+        val ownTokens = (-ln(1 - random.nextDouble()) * kind.ownTokens).toInt() + 1
+        return profile(PromptPart(subject, kind.sharedTokens), ownTokens, kind.outputTokens)
+    }
+
+    private fun profile(shared: PromptPart, ownTokens: Int, outputTokens: Int): PromptProfile =
         PromptProfile(
             model = null,
-            promptTokens = PROMPT_TOKENS,
-            maxOutputTokens = OUTPUT_TOKENS,
-            hintedOutputTokens = OUTPUT_TOKENS,
-            expectedOutputTokens = OUTPUT_TOKENS,
-            parts =
-                persistentListOf(
-                    PromptPart("shared", (PROMPT_TOKENS * options.cachedFraction).toInt()),
-                    PromptPart("own-${random.nextInt()}", PROMPT_TOKENS / 2),
-                ),
+            promptTokens = shared.tokens + ownTokens,
+            maxOutputTokens = outputTokens,
+            hintedOutputTokens = outputTokens,
+            expectedOutputTokens = outputTokens,
+            parts = persistentListOf(shared, PromptPart("own-${random.nextInt()}", ownTokens)),
         )
 
     private companion object {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedEngine.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedEngine.kt
@@ -1,6 +1,8 @@
 package toucanrelay.gateway.dispatch
 
 import toucanrelay.core.identity.TargetId
+import toucanrelay.core.placement.PrefixResidency
+import toucanrelay.core.placement.PromptProfile
 
 /** An engine that reads prompts one after the other and then generates the answers side by side. */
 internal class SimulatedEngine(
@@ -23,12 +25,20 @@
     )
 
     val id = TargetId(name)
+    private val residency = PrefixResidency(CACHE_TOKENS)
 
     /** Whether the engine works; one that does not keeps what it has and reads nothing. */
     var isRunning = true
     private val waiting = ArrayDeque<Run>()
     private val generating = mutableListOf<Generation>()
 
+    /** Tokens of [prompt] that the engine has cached. */
+    fun residentTokens(prompt: PromptProfile): Int =
+        prompt.sharedParts.sumOf { if (it.id == SHARED_BY_ALL) it.tokens else residency.residentTokens(listOf(it)) }
+
+    /** Records that the engine reads [prompt]. */
+    fun recordRead(prompt: PromptProfile) = residency.recordRead(prompt.sharedParts)
+
     /** Queues a prompt with [unreadTokens] to read. */
     fun submit(
         unreadTokens: Long,
@@ -65,5 +75,6 @@
 
     private companion object {
         const val GENERATION_MILLISECONDS = 400L
+        const val CACHE_TOKENS = 200_000L
     }
 }
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
@@ -6,6 +6,7 @@
 import toucanrelay.core.identity.TargetId
 import toucanrelay.core.overload.AdmissionLatencyLimit
 import toucanrelay.core.overload.OrganisationUsage
+import toucanrelay.core.overload.PlacementPass
 import toucanrelay.core.overload.RequestHistory
 import toucanrelay.core.overload.UsageKey
 import toucanrelay.core.placement.Candidate
@@ -28,6 +29,7 @@
 internal class SimulatedRequest(
     val load: CallerLoad,
     val prompt: PromptProfile,
+    val objectiveMilliseconds: Long,
     val arrivedAtMilliseconds: Long,
     val isRetry: Boolean,
     val refuse: () -> Unit,
@@ -49,26 +51,44 @@
     private val speed = EngineSpeed(initialTokensPerMillisecond)
     private val ownLoads = HashMap<TargetId, TargetLoad>()
     private var othersLoads: Map<TargetId, OthersLoad> = emptyMap()
+    private val unread = mutableListOf<SimulatedRequest>()
     private val waiting = mutableListOf<SimulatedRequest>()
+    private var nextDrainAtMilliseconds = 0L
 
-    /** Takes a request from a caller; it is placed or refused later. */
+    /** Receives a request from a caller, which is read in the next turn of the event loop. */
     fun accept(request: SimulatedRequest) {
-        usage.recordDemand(keyOf(request), request.prompt.chargedTokens)
-        waiting += request
+        unread += request
     }
 
-    /** Places the waiting requests that [engines] can accept, and refuses those that have waited too long. */
-    fun placeWaiting(engines: List<SimulatedEngine>) {
+    /** Places on [engines] the requests that arrived and those that wait, and refuses those that have waited too long. */
+    fun takeTurn(engines: List<SimulatedEngine>) {
+        unread.forEach { request ->
+            usage.recordDemand(keyOf(request), request.prompt.chargedTokens)
+            if (!tryToSend(request, engines)) waiting += request
+        }
+        unread.clear()
+        if (clock.nowMilliseconds() >= nextDrainAtMilliseconds) drain(engines)
+        waiting.filter { hasWaitedTooLong(it) }.forEach { request ->
+            waiting.remove(request)
+            request.refuse()
+        }
+    }
+
+    private fun drain(engines: List<SimulatedEngine>) {
+        nextDrainAtMilliseconds = clock.nowMilliseconds() + DRAIN_PERIOD_MILLISECONDS
         val order =
             compareBy<SimulatedRequest> { shares.servedPerSecond(it.load.organisation) }
                 .thenBy { !it.isRetry }
                 .thenBy { it.arrivedAtMilliseconds }
-        waiting.sortedWith(order).forEach { request ->
-            val placement = place(request, engines)
-            if (placement != null) send(request, placement, engines.first { it.id == placement.target })
-            if (placement != null || hasWaitedTooLong(request)) waiting.remove(request)
-            if (placement == null && hasWaitedTooLong(request)) request.refuse()
-        }
+        val sent =
+            PlacementPass.run(waiting.sortedWith(order), { it.load.organisation }) { tryToSend(it, engines) }
+        waiting.removeAll(sent.toSet())
+    }
+
+    private fun tryToSend(request: SimulatedRequest, engines: List<SimulatedEngine>): Boolean {
+        val placement = place(request, engines) ?: return false
+        send(request, placement, engines.first { it.id == placement.target })
+        return true
     }
 
     /** Returns the digest number [sequence] with this gateway's loads and usage. */
@@ -107,7 +127,7 @@
                     distance = if (engine.region == region) Distance.SAME_REGION else Distance.OTHER_REGION,
                     load = loadOf(engine.id),
                     readTokensPerSecond = 0.0,
-                    residentTokens = request.prompt.sharedParts.sumOf { it.tokens },
+                    residentTokens = engine.residentTokens(request.prompt),
                     failureRate = 0.0,
                     slots = SLOTS,
                     memoryTokens = MEMORY_TOKENS,
@@ -128,7 +148,7 @@
 
     private fun allowedMilliseconds(request: SimulatedRequest): Double =
         AdmissionLatencyLimit.milliseconds(
-            OBJECTIVE_MILLISECONDS,
+            request.objectiveMilliseconds,
             shares.servedPerSecond(request.load.organisation),
             shares.levelPerSecond(keyOf(request).regions),
             if (request.isRetry) RequestHistory.CALLER_RETRY else RequestHistory.NEW,
@@ -141,6 +161,7 @@
         val tokensAhead = loadOf(engine.id).unreadTokens + placement.unreadTokens
         val sentAtMilliseconds = clock.nowMilliseconds()
         change(engine.id, TargetLoad.NONE, reading)
+        engine.recordRead(request.prompt)
         engine.submit(
             placement.unreadTokens,
             onStart = { onStart(request) },
@@ -164,13 +185,14 @@
 
     private fun hasWaitedTooLong(request: SimulatedRequest): Boolean {
         val fraction = if (request.isRetry) RETRY_WAIT_FRACTION else NEW_WAIT_FRACTION
-        return clock.nowMilliseconds() - request.arrivedAtMilliseconds >= OBJECTIVE_MILLISECONDS * fraction
+        return clock.nowMilliseconds() - request.arrivedAtMilliseconds >= request.objectiveMilliseconds * fraction
     }
 
     private companion object {
         val ADDRESS = TargetAddress("127.0.0.1", 1)
         const val SLOTS = 64
         const val MEMORY_TOKENS = 1_000_000L
+        const val DRAIN_PERIOD_MILLISECONDS = 20L
         const val NEW_WAIT_FRACTION = 0.35
         const val RETRY_WAIT_FRACTION = 0.8
     }
