--- a/core/src/main/kotlin/toucanrelay/core/overload/AdmissionLatencyLimit.kt
+++ b/core/src/main/kotlin/toucanrelay/core/overload/AdmissionLatencyLimit.kt
@@ -6,7 +6,9 @@
  * Computes the highest expected time to the first event with which a request is admitted.
  *
  * Organisations below their max-min fair share get a higher limit and may therefore fill the engines further than those
- * above it. This reserves room for them, while organisations above their share can still use spare capacity.
+ * above it. This reserves room for them, while organisations above their share can still use spare capacity. A request
+ * keeps the limit of its organisation while it waits: where many wait, they would else end with less than the new requests
+ * of an organisation above its share.
  */
 public object AdmissionLatencyLimit {
     /**
@@ -17,12 +19,15 @@
      * @param levelPerSecond max-min fair level of the demands of all organisations, in tokens per second; 0 while
      *   nothing is served yet, which limits nobody.
      * @param history earlier attempts at the request.
+     * @param waitedMilliseconds time since the request arrived; it lowers the limit only where the first event would come
+     *   too late.
      */
     public fun milliseconds(
         objectiveMilliseconds: Long,
         servedPerSecond: Double,
         levelPerSecond: Double,
         history: RequestHistory,
+        waitedMilliseconds: Long = 0,
     ): Double {
         val usedShare = if (levelPerSecond > 0) servedPerSecond / levelPerSecond else 0.0
         val factor =
@@ -31,9 +36,20 @@
                 RequestHistory.CALLER_RETRY -> callerRetryFactorFor(usedShare)
                 RequestHistory.INTERRUPTED -> INTERRUPTED_FACTOR
             }
-        return objectiveMilliseconds * factor
+        return minOf(
+            objectiveMilliseconds * factor,
+            objectiveMilliseconds * maxTotalFactorFor(history) - waitedMilliseconds,
+        )
     }
 
+    /** Returns the highest sum of the waiting time and the expected time, as a multiple of the objective. */
+    private fun maxTotalFactorFor(history: RequestHistory): Double =
+        when (history) {
+            RequestHistory.NEW -> MAX_FACTOR
+            RequestHistory.CALLER_RETRY -> MAX_CALLER_RETRY_FACTOR
+            RequestHistory.INTERRUPTED -> Double.POSITIVE_INFINITY
+        }
+
     /**
      * Returns the factor for an organisation that uses [usedShare] of its fair share.
      *
--- a/core/src/test/kotlin/toucanrelay/core/overload/AdmissionLatencyLimitTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/overload/AdmissionLatencyLimitTest.kt
@@ -48,6 +48,17 @@
                 limit(120.0, RequestHistory.CALLER_RETRY) shouldBe limit(120.0)
             }
 
+            it("does not fall below that of an organisation above its share while a request below it waits") {
+                fun limitAfter(waited: Long, history: RequestHistory) =
+                    AdmissionLatencyLimit.milliseconds(1_000, 50.0, 100.0, history, waited)
+                limitAfter(350, RequestHistory.NEW) shouldBeGreaterThan limit(110.0)
+                limitAfter(800, RequestHistory.CALLER_RETRY) shouldBeGreaterThan limit(110.0)
+            }
+
+            it("leaves no time for a first event that would come after the objective") {
+                AdmissionLatencyLimit.milliseconds(1_000, 0.0, 100.0, RequestHistory.NEW, 950) shouldBeLessThan 0.0
+            }
+
             it("is highest for an interrupted request, whatever its organisation received") {
                 limit(1_000.0, RequestHistory.INTERRUPTED) shouldBeGreaterThan limit(0.0, RequestHistory.CALLER_RETRY)
             }
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -117,8 +117,8 @@
         val withRoom = candidates.filter { PlacementPolicy.hasRoom(prompt, it) }
         val unread = withRoom.minOfOrNull { it.load.unreadTokens }
         val history = historyOf(query)
-        val allowed = allowedMilliseconds(request, history).toInt()
-        val left = remainingMilliseconds(request, history).toInt()
+        val allowed = allowedMilliseconds(request, history, waitedMilliseconds = 0).toInt()
+        val left = allowedMilliseconds(request, history, waitedMilliseconds(request)).toInt()
         val paced = serving.count { allowances.isPaced(it, request.service) }
         val backingOff = serving.count { allowances.backoffMilliseconds(it.target) > 0 }
         return "$counts paced $paced backing off $backingOff with room ${withRoom.size} " +
@@ -144,22 +144,24 @@
     private fun choose(request: CallerRequest, candidates: List<Candidate>, history: RequestHistory): Placement? {
         val prompt = request.prompt ?: return PlacementPolicy.placeServiceCall(candidates, SERVICE_QUEUE_FACTOR)
         val speed = speedOf(request.service, request.configuration.limits.tokensPerSecond)
-        return PlacementPolicy.placeModelCall(prompt, candidates, speed, remainingMilliseconds(request, history))
+        val allowed = allowedMilliseconds(request, history, waitedMilliseconds(request))
+        return PlacementPolicy.placeModelCall(prompt, candidates, speed, allowed)
     }
 
-    /** Returns what is left of the allowed time after the time that [request] has waited. */
-    private fun remainingMilliseconds(request: CallerRequest, history: RequestHistory): Double {
-        val sinceArrival = clock.nowMilliseconds() - request.arrivedAtMilliseconds
-        val waited = if (history == RequestHistory.INTERRUPTED) 0 else sinceArrival
-        return allowedMilliseconds(request, history) - waited
-    }
+    private fun waitedMilliseconds(request: CallerRequest): Long =
+        clock.nowMilliseconds() - request.arrivedAtMilliseconds
 
-    private fun allowedMilliseconds(request: CallerRequest, history: RequestHistory): Double =
+    private fun allowedMilliseconds(
+        request: CallerRequest,
+        history: RequestHistory,
+        waitedMilliseconds: Long,
+    ): Double =
         AdmissionLatencyLimit.milliseconds(
             request.route.latencyObjectiveMilliseconds,
             shares.servedPerSecond(request.account),
             shares.levelPerSecond(request.usageKey.regions),
             history,
+            waitedMilliseconds,
         )
 
     private fun candidateOf(serving: ServingTarget, prompt: PromptProfile?, service: ServiceSettings): Candidate {
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
@@ -133,8 +133,7 @@
                     memoryTokens = MEMORY_TOKENS,
                 )
             }
-        val waited = clock.nowMilliseconds() - request.arrivedAtMilliseconds
-        return PlacementPolicy.placeModelCall(request.prompt, candidates, speed, allowedMilliseconds(request) - waited)
+        return PlacementPolicy.placeModelCall(request.prompt, candidates, speed, allowedMilliseconds(request))
     }
 
     /** Returns the load of the whole fleet at [target], as far as this gateway knows. */
@@ -152,6 +151,7 @@
             shares.servedPerSecond(request.load.organisation),
             shares.levelPerSecond(keyOf(request).regions),
             if (request.isRetry) RequestHistory.CALLER_RETRY else RequestHistory.NEW,
+            clock.nowMilliseconds() - request.arrivedAtMilliseconds,
         )
 
     private fun send(request: SimulatedRequest, placement: Placement, engine: SimulatedEngine) {
