Divide spare engines among the gateways for organisations above their share

What callers saw: an organisation at one gateway got a fifth of what one at all gateways got, although that one was far above its share.

Cause: the share was a preference at each gateway. An organisation above it was admitted to every engine that a gateway believed to read nothing; all gateways believe that of the same engine until the next digests, and each places a request there. What the organisation got grew with the gateways that its callers reach. Class: a limit of the fleet that each instance applies alone to shared, stale state (herd).

Evidence: SingleGatewayFairnessTest on the commit before, and a print of its simulation: the level is 38,000 to 55,000 tokens a second, the engines have 3,000 to 60,000 unread tokens. On the grown site requests waited 1.2 to 1.5 s for a first event that was expected after 0.3 s.

Fix: in each 200 ms a gateway uses a pseudorandom part of the engines for an organisation above its share. The part falls steadily from all at the share to half an engine's worth over the whole fleet at twice the share. No message is added, and none of the gateways has to be there for the others' part to be used; the level grows by a tenth in its time constant while engines have room.

SingleGatewayFairnessTest and FleetFairnessTest pass on this commit.

--- a/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/GatewayComponents.kt
@@ -9,6 +9,7 @@
 import toucanrelay.core.identity.RegionId
 import toucanrelay.core.overload.OrganisationUsage
 import toucanrelay.core.overload.OverloadWithdrawal
+import toucanrelay.core.overload.SpareCapacityTurns
 import toucanrelay.core.quarantine.CrashQuarantine
 import toucanrelay.core.quarantine.Suspect
 import toucanrelay.core.quarantine.SuspectCondition
@@ -84,7 +85,7 @@
 
     /** Withdraws this process from load balancing while it is overloaded. */
     val withdrawal = OverloadWithdrawal(clock)
-    val fairShares = FairShares(clock, organisationUsage, fleet)
+    val fairShares = FairShares(clock, organisationUsage, fleet, SpareCapacityTurns(settings.instanceId, clock))
     val serviceDemand = ServiceDemand(clock)
     val statedLimits = StatedLimits(clock, StatedLimitLog(log))
     private val statementLog = TargetStatementLog(log, meters)
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
@@ -4,6 +4,7 @@
 import toucanrelay.core.identity.RegionId
 import toucanrelay.core.overload.MaxMinShare
 import toucanrelay.core.overload.OrganisationUsage
+import toucanrelay.core.overload.SpareCapacityTurns
 import toucanrelay.core.overload.UsageKey
 import toucanrelay.core.overload.UsageRate
 import toucanrelay.core.time.Clock
@@ -19,6 +20,7 @@
     private val clock: Clock,
     private val ownUsage: OrganisationUsage,
     private val fleet: FleetView,
+    private val turns: SpareCapacityTurns,
 ) {
     private var usage: Map<OrganisationId, UsageRate> = emptyMap()
     private var levels: Map<Set<RegionId>, Double> = emptyMap()
@@ -39,6 +41,13 @@
         return levels[regions] ?: Double.POSITIVE_INFINITY
     }
 
+    /** Returns whether this gateway may place a request of [organisation] on the target with [targetHash] now. */
+    fun mayUse(targetHash: Long, organisation: OrganisationId, regions: Set<RegionId>): Boolean {
+        val level = levelPerSecond(regions)
+        val usedShare = if (level > 0) servedPerSecond(organisation) / level else 0.0
+        return turns.hasTurn(targetHash, fleet.size, usedShare)
+    }
+
     /** Describes the present rates and levels. */
     fun summary(): FairShareSummary {
         refresh()
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -145,7 +145,13 @@
         val prompt = request.prompt ?: return PlacementPolicy.placeServiceCall(candidates, SERVICE_QUEUE_FACTOR)
         val speed = speedOf(request.service, request.configuration.limits.tokensPerSecond)
         val allowed = allowedMilliseconds(request, history, waitedMilliseconds(request))
-        return PlacementPolicy.placeModelCall(prompt, candidates, speed, allowed)
+        return PlacementPolicy.placeModelCall(prompt, openTo(request, candidates, history), speed, allowed)
+    }
+
+    /** Returns those of [candidates] that the organisation of [request] may use now. */
+    private fun openTo(request: CallerRequest, candidates: List<Candidate>, history: RequestHistory): List<Candidate> {
+        if (history == RequestHistory.INTERRUPTED) return candidates
+        return candidates.filter { shares.mayUse(it.hash, request.account, request.usageKey.regions) }
     }
 
     private fun waitedMilliseconds(request: CallerRequest): Long =
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/ServiceRecord.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/ServiceRecord.kt
@@ -32,7 +32,8 @@
     fun servedTokens(name: String, seconds: IntRange): Int = servedTokens.sum(name, seconds)
 
     /** Charged tokens of the requests of all organisations that engines began in [seconds]. */
-    fun servedTokens(seconds: IntRange): Int = servedTokens.entries.filter { it.key.second in seconds }.sumOf { it.value }
+    fun servedTokens(seconds: IntRange): Int =
+        servedTokens.entries.filter { it.key.second in seconds }.sumOf { it.value }
 
     /** Number of refusals of [name] in [seconds]. */
     fun refused(name: String, seconds: IntRange): Int = refused.sum(name, seconds)
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
@@ -8,6 +8,7 @@
 import toucanrelay.core.overload.OrganisationUsage
 import toucanrelay.core.overload.PlacementPass
 import toucanrelay.core.overload.RequestHistory
+import toucanrelay.core.overload.SpareCapacityTurns
 import toucanrelay.core.overload.UsageKey
 import toucanrelay.core.placement.Candidate
 import toucanrelay.core.placement.Distance
@@ -46,7 +47,7 @@
 ) {
     private val usage = OrganisationUsage(clock)
     private val fleet = FleetView(InstanceId(name), regions[region], clock) { RegionId(it.value) }
-    private val shares = FairShares(clock, usage, fleet)
+    private val shares = FairShares(clock, usage, fleet, SpareCapacityTurns(InstanceId(name), clock))
     private val domain = FailureDomainId(regions[region].value)
     private val speed = EngineSpeed(initialTokensPerMillisecond)
     private val ownLoads = HashMap<TargetId, TargetLoad>()
@@ -133,7 +134,9 @@
                     memoryTokens = MEMORY_TOKENS,
                 )
             }
-        return PlacementPolicy.placeModelCall(request.prompt, candidates, speed, allowedMilliseconds(request))
+        val open =
+            candidates.filter { shares.mayUse(it.hash, request.load.organisation, keyOf(request).regions) }
+        return PlacementPolicy.placeModelCall(request.prompt, open, speed, allowedMilliseconds(request))
     }
 
     /** Returns the load of the whole fleet at [target], as far as this gateway knows. */
