--- a/core/src/main/kotlin/toucanrelay/core/overload/PlacementPass.kt
+++ b/core/src/main/kotlin/toucanrelay/core/overload/PlacementPass.kt
@@ -19,7 +19,7 @@
     public fun <T, K> run(waiting: List<T>, organisationOf: (T) -> K, place: (T) -> Boolean): List<T> {
         val untried = LinkedHashSet(waiting)
         return placeInOrder(waiting, organisationOf, untried, place) +
-            placeInOrder(untried.reversed(), organisationOf, untried, place)
+            placeInOrder(untried.toList().asReversed(), organisationOf, untried, place)
     }
 
     private fun <T, K> placeInOrder(
@@ -40,6 +40,6 @@
         }
     }
 
-    /** Several, since prompts differ in what engines have cached of them. */
+    /** At each end of the queue; more than one, since prompts differ in what engines have cached of them. */
     private const val MAX_FAILURES_IN_A_ROW = 4
 }
--- a/core/src/test/kotlin/toucanrelay/core/overload/SpareCapacityTurnsTest.kt
+++ b/core/src/test/kotlin/toucanrelay/core/overload/SpareCapacityTurnsTest.kt
@@ -20,7 +20,7 @@
             val target = StableHash.of("target")
             var total = 0
             repeat(PERIODS) {
-                total += turns.count { it.hasTurn(target, INSTANCES, usedShare) }
+                total += turns.count { it.now(INSTANCES, usedShare).includes(target) }
                 clock.advance(200)
             }
             return total.toDouble() / PERIODS
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/FairShares.kt
@@ -7,6 +7,7 @@
 import toucanrelay.core.overload.SpareCapacityTurns
 import toucanrelay.core.overload.UsageKey
 import toucanrelay.core.overload.UsageRate
+import toucanrelay.core.placement.Candidate
 import toucanrelay.core.time.Clock
 import toucanrelay.gateway.member.FleetView
 
@@ -41,11 +42,13 @@
         return levels[regions] ?: Double.POSITIVE_INFINITY
     }
 
-    /** Returns whether this gateway may place a request of [organisation] on the target with [targetHash] now. */
-    fun mayUse(targetHash: Long, organisation: OrganisationId, regions: Set<RegionId>): Boolean {
+    /** Returns those of [targets] on which this gateway may place a request of [organisation] now. */
+    fun inTurn(targets: List<Candidate>, organisation: OrganisationId, regions: Set<RegionId>): List<Candidate> {
         val level = levelPerSecond(regions)
         val usedShare = if (level > 0) servedPerSecond(organisation) / level else 0.0
-        return turns.hasTurn(targetHash, fleet.size, usedShare)
+        if (usedShare <= 1) return targets
+        val turn = turns.now(fleet.size, usedShare)
+        return targets.filter { turn.includes(it.hash) }
     }
 
     /** Describes the present rates and levels. */
--- a/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
+++ b/gateway/src/main/kotlin/toucanrelay/gateway/dispatch/Placer.kt
@@ -148,10 +148,10 @@
         return PlacementPolicy.placeModelCall(prompt, openTo(request, candidates, history), speed, allowed)
     }
 
-    /** Returns those of [candidates] that the organisation of [request] may use now. */
+    /** Returns those of [candidates] that this gateway may use now for the organisation of [request]. */
     private fun openTo(request: CallerRequest, candidates: List<Candidate>, history: RequestHistory): List<Candidate> {
         if (history == RequestHistory.INTERRUPTED) return candidates
-        return candidates.filter { shares.mayUse(it.hash, request.account, request.usageKey.regions) }
+        return shares.inTurn(candidates, request.account, request.usageKey.regions)
     }
 
     private fun waitedMilliseconds(request: CallerRequest): Long =
--- a/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
+++ b/gateway/src/test/kotlin/toucanrelay/gateway/dispatch/SimulatedGateway.kt
@@ -134,8 +134,7 @@
                     memoryTokens = MEMORY_TOKENS,
                 )
             }
-        val open =
-            candidates.filter { shares.mayUse(it.hash, request.load.organisation, keyOf(request).regions) }
+        val open = shares.inTurn(candidates, request.load.organisation, keyOf(request).regions)
         return PlacementPolicy.placeModelCall(request.prompt, open, speed, allowedMilliseconds(request))
     }
 
